A new connection that goes silent is given up like a kept one

Cause: an idempotent request was tried again only when its connection had been kept from an earlier one. One that went silent under the first request on a new connection waited for its deadline. A trace of every failed attempt in path_silent showed it: both reads that ended unknown were on new connections (reused=0, first attempt, age 3.8 and 4.0 s). Ruled out: the budget of repeats (20 of 20 left), a second try on a silent connection (attempts=1).

Change: the watch for silence holds for new connections too. There it counts as silence of the server, on a kept one as the connection's.

--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -349,7 +349,7 @@
 {
   struct cye_call *call = request->call;
   if (request->stage != CYE_CALLING || call == NULL || cye_call_ended (call)
-      || !request->idempotent || !cye_call_reused (call)
+      || !request->idempotent || !cye_call_sent (call)
       || cye_call_head (call)->complete)
     return;
   cy_time_ns patience = MAX (CYE_SILENT_MIN_MS * CY_NS_PER_MS,
@@ -360,7 +360,10 @@
   request->sent_before = true;
   request->arrived = true;
   request->avoid[0] = '\0';
-  give_slot (request, CYM_CANCELLED, true);
+  /* A kept connection may have been at fault; on a new one it is the
+     server.  */
+  give_slot (request, cye_call_reused (call) ? CYM_CANCELLED : CYM_SILENT,
+             true);
   drop_call (request);
   cye_admit_slot (request);
   cye_worker_note (request->worker, request);
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -159,7 +159,7 @@
 /* Looks at what came from it.  */
 void cye_forward_step (struct cye_request *request);
 
-/* Gives up a kept connection that went silent.  */
+/* Gives up a connection that went silent under an idempotent request.  */
 void cye_forward_check (struct cye_request *request, cy_time_ns now);
 
 /* Ends the attempt before its own end, because nobody waits.  */
--- a/tests/path/raw_server.h
+++ b/tests/path/raw_server.h
@@ -41,6 +41,7 @@
   uint16_t port;
   pthread_t thread;
   struct raw_script script;
+  atomic_int lost;        /* so many first connections are never answered on */
   atomic_int requests;    /* read whole, but /health */
   atomic_int connections; /* that asked for more than /health */
   pthread_mutex_t lock;
@@ -115,6 +116,7 @@
   struct raw_server *server = conn->server;
   char *buffer = malloc (RAW_REQUEST_MAX);
   bool first = true;
+  bool lost = false;
   bool open = buffer != NULL;
   while (open && raw_read (conn->fd, buffer) > 0)
     {
@@ -128,9 +130,11 @@
       pthread_mutex_unlock (&server->lock);
       atomic_fetch_add (&server->requests, 1);
       if (first)
-        atomic_fetch_add (&server->connections, 1);
-      open = raw_act_on (conn,
-                         first ? server->script.first : server->script.others);
+        lost = atomic_fetch_add (&server->connections, 1)
+               < atomic_load (&server->lost);
+      open = lost ? true
+                  : raw_act_on (conn, first ? server->script.first
+                                            : server->script.others);
       first = false;
     }
   close (conn->fd);
--- a/tests/path/test_resend.c
+++ b/tests/path/test_resend.c
@@ -83,6 +83,43 @@
 }
 END_TEST
 
+/* A connection that goes silent under its first request.  */
+static const struct
+{
+  const char *method;
+  const char *path;
+  int sent;
+  long status;
+  const char *outcome;
+} lost_rows[] = {
+  { "GET", "/", 2, 200, "ran" },
+  { "POST", "/safe", 2, 200, "ran" },
+  { "POST", "/", 1, 504, "unknown" },
+};
+
+START_TEST (test_lost_new_connection)
+{
+  struct raw_script script = { RAW_ANSWER, RAW_ANSWER, NULL };
+  struct raw_server *server = raw_server_start (script);
+  atomic_store (&server->lost, 1);
+  const char *method = lost_rows[_i].method;
+  world_prepare (false);
+  world_backend ("b1", server->port, false);
+  world_start ();
+  CURL *easy = curl_easy_init ();
+  const char *body = strcmp (method, "GET") == 0 ? NULL : "confirm";
+  struct reply reply = ask (easy, method, lost_rows[_i].path, WORLD_KEY, body,
+                            "Cy-Timeout-Ms: 2500");
+  ck_assert_msg (reply.status == lost_rows[_i].status, "%ld %s", reply.status,
+                 reply.body->str);
+  ck_assert_str_eq (reply.outcome, lost_rows[_i].outcome);
+  ck_assert_int_eq (atomic_load (&server->requests), lost_rows[_i].sent);
+  reply_clear (&reply);
+  curl_easy_cleanup (easy);
+  world_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -91,6 +128,8 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, test_libcurl_resends_post);
   tcase_add_loop_test (tcase, test_request_path, 0, G_N_ELEMENTS (rows));
+  tcase_add_loop_test (tcase, test_lost_new_connection, 0,
+                       G_N_ELEMENTS (lost_rows));
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
