The budget of repeats holds for every span of its window

The counter looked at ten slices with the newest one incomplete, so a span of a window's length could hold eleven of them, the fixed part could be spent twice within 9.1 s, a placer that took over began with a whole fixed part, and two placers of one region had it twice. Ruled out: entry VMs that place by themselves, they repeat nothing.

Conclusion: the bound no longer depends on where a span begins.

--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -200,7 +200,7 @@
   if (ask->again)
     {
       if (!cym_repeats_take (&service->repeats, &match->options.bounds.repeats,
-                             now))
+                             match->share, now))
         return CY_E_RETRY_BUDGET;
     }
   else
--- a/src/core/cym_repeats.c
+++ b/src/core/cym_repeats.c
@@ -1,5 +1,7 @@
 #include "core/cym_repeats.h"
 
+#include <sys/param.h>
+
 /* Clears the slices that have passed since the newest one.  */
 static void
 turn (struct cym_repeats *repeats, const struct cym_repeat_bounds *bounds,
@@ -7,12 +9,14 @@
 {
   int64_t slice = now / (bounds->window / CYM_REPEATS_SLICES);
   int64_t passed = slice - repeats->slice;
+  if (repeats->since == 0)
+    repeats->since = now;
   if (passed <= 0)
     return;
-  for (int64_t i = 1; i <= passed && i <= CYM_REPEATS_SLICES; i++)
+  for (int64_t i = 1; i <= passed && i <= CYM_REPEATS_KEPT; i++)
     {
-      repeats->requests[(repeats->slice + i) % CYM_REPEATS_SLICES] = 0;
-      repeats->repeats[(repeats->slice + i) % CYM_REPEATS_SLICES] = 0;
+      repeats->requests[(repeats->slice + i) % CYM_REPEATS_KEPT] = 0;
+      repeats->repeats[(repeats->slice + i) % CYM_REPEATS_KEPT] = 0;
     }
   repeats->slice = slice;
 }
@@ -22,23 +26,50 @@
                      const struct cym_repeat_bounds *bounds, cy_time_ns now)
 {
   turn (repeats, bounds, now);
-  repeats->requests[repeats->slice % CYM_REPEATS_SLICES]++;
+  repeats->requests[repeats->slice % CYM_REPEATS_KEPT]++;
+}
+
+/* Sums over the newest slices: SUMS[i] is that of the newest I.  */
+static void
+sum_up (const struct cym_repeats *repeats, const uint32_t *counts,
+        uint32_t *sums)
+{
+  sums[0] = 0;
+  for (int i = 0; i < CYM_REPEATS_KEPT; i++)
+    sums[i + 1] = sums[i] + counts[(repeats->slice - i) % CYM_REPEATS_KEPT];
+}
+
+/* Requests that the span of a window which began in the COUNTth newest slice
+   is held against, if none come any more.  */
+static uint32_t
+asked_around (const uint32_t *sums, int count)
+{
+  const int whole = CYM_REPEATS_SLICES;
+  const int half = whole / 2;
+  uint32_t most = sums[count - 1];
+  uint32_t half_before
+      = sums[count - 1 + half] - sums[count > half ? count - half : 0];
+  uint32_t before = sums[count - 1 + whole] - sums[count];
+  most = MAX (most, half_before);
+  return MAX (most, before);
 }
 
 bool
 cym_repeats_take (struct cym_repeats *repeats,
-                  const struct cym_repeat_bounds *bounds, cy_time_ns now)
+                  const struct cym_repeat_bounds *bounds, double share,
+                  cy_time_ns now)
 {
-  double requests = 0;
-  double taken = 0;
+  uint32_t requests[CYM_REPEATS_KEPT + 1];
+  uint32_t taken[CYM_REPEATS_KEPT + 1];
   turn (repeats, bounds, now);
-  for (int i = 0; i < CYM_REPEATS_SLICES; i++)
-    {
-      requests += repeats->requests[i];
-      taken += repeats->repeats[i];
-    }
-  if (taken + 1 > requests * bounds->ratio + bounds->fixed)
-    return false;
-  repeats->repeats[repeats->slice % CYM_REPEATS_SLICES]++;
+  sum_up (repeats, repeats->requests, requests);
+  sum_up (repeats, repeats->repeats, taken);
+  double begun = (double)(now - repeats->since) / (double)bounds->window;
+  double fixed = bounds->fixed * share * (begun < 1 ? begun : 1);
+  for (int count = 1; count <= CYM_REPEATS_SLICES + 1; count++)
+    if (taken[count] + 1
+        > asked_around (requests, count) * bounds->ratio + fixed)
+      return false;
+  repeats->repeats[repeats->slice % CYM_REPEATS_KEPT]++;
   return true;
 }
--- a/src/core/cym_repeats.h
+++ b/src/core/cym_repeats.h
@@ -1,6 +1,9 @@
 /* Budget of repeats: requests that are sent to a second backend server, as a
    share of the requests of the service in a sliding window and a fixed part
-   besides.  Pure, one thread at a time.  */
+   besides.  It holds for every span of a window's length, wherever it begins,
+   against the requests of that span, the one before it or the one half a
+   window before it: when a repeat is allowed nobody knows whether requests
+   will go on.  Pure, one thread at a time.  */
 
 #ifndef CYM_REPEATS_H
 #define CYM_REPEATS_H
@@ -10,7 +13,8 @@
 
 #include "core/cy_clock.h"
 
-#define CYM_REPEATS_SLICES 10 /* of the window */
+#define CYM_REPEATS_SLICES 20                           /* of the window */
+#define CYM_REPEATS_KEPT   (2 * CYM_REPEATS_SLICES + 1) /* slices */
 
 /* How many repeats are allowed.  */
 struct cym_repeat_bounds
@@ -22,9 +26,10 @@
 
 struct cym_repeats
 {
-  uint32_t requests[CYM_REPEATS_SLICES];
-  uint32_t repeats[CYM_REPEATS_SLICES];
-  int64_t slice; /* number of the newest slice since time 0 */
+  uint32_t requests[CYM_REPEATS_KEPT];
+  uint32_t repeats[CYM_REPEATS_KEPT];
+  int64_t slice;    /* number of the newest slice since time 0 */
+  cy_time_ns since; /* of the first request counted, 0: none yet */
 };
 
 /* A request came in.  */
@@ -32,8 +37,12 @@
                           const struct cym_repeat_bounds *bounds,
                           cy_time_ns now);
 
-/* Takes one repeat; false when the budget is spent.  */
+/* Takes one repeat; false when the budget is spent.  SHARE: part of the fixed
+   repeats that is this counter's, 0 to 1.  A counter that has begun less than
+   a window ago may follow another one that spent its part, so the fixed part
+   comes in over the first window.  */
 bool cym_repeats_take (struct cym_repeats *repeats,
-                       const struct cym_repeat_bounds *bounds, cy_time_ns now);
+                       const struct cym_repeat_bounds *bounds, double share,
+                       cy_time_ns now);
 
 #endif /* CYM_REPEATS_H */
