A large declaration no longer takes entry VMs from their placers

The logs of one zone's entry VMs show the loop: 300 KB take a second on a link of 2.4 Mbit/s, the answers to requests wait behind them, after 450 ms without a whole message the entry VM drops the control VM, and the next one begins to send the same. An entry VM that starts got the whole text from four control VMs at once. Ruled out: processor time (entry VMs 0.018 of 0.07 cores, control VMs 0.07 of 0.3).

Change: declarations are deflated for entry VMs (zlib, made once for each older version held); silence of a control VM is counted on bytes, not on whole messages; only the placer sends a declaration at once, others when it has not arrived after 1.2 s, at a start too.

What is left around a large declaration is slower service for some seconds and the acknowledgement of one that never came.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,10 @@
 
 CC       ?= gcc
 BUILD    := build
-PACKAGES := glib-2.0 jansson libmicrohttpd libcurl libprotobuf-c ck libxxhash
+PACKAGES := glib-2.0 jansson libmicrohttpd libcurl libprotobuf-c ck libxxhash zlib
 DEBIAN   := build-essential pkg-config libck-dev libprotobuf-c-dev \
             libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev \
-            libglib2.0-dev check libsubunit-dev libxxhash-dev clang-format \
+            libglib2.0-dev check libsubunit-dev libxxhash-dev zlib1g-dev clang-format \
             clang-tidy cppcheck curl
 SANITIZE ?=
 
--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -4042,7 +4042,7 @@
   (ProtobufCMessageInit) cy__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__document__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cy__document__field_descriptors[9] =
 {
   {
     "number",
@@ -4128,10 +4128,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cy__Document, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "packed_size",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cy__Document, packed_size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__document__field_indices_by_name[] = {
   3,   /* field[3] = digest */
   0,   /* field[0] = number */
+  7,   /* field[7] = packed */
+  8,   /* field[8] = packed_size */
   5,   /* field[5] = pieces */
   2,   /* field[2] = source */
   4,   /* field[4] = starts_from */
@@ -4141,7 +4167,7 @@
 static const ProtobufCIntRange cy__document__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cy__document__descriptor =
 {
@@ -4151,7 +4177,7 @@
   "Cy__Document",
   "cy",
   sizeof(Cy__Document),
-  7,
+  9,
   cy__document__field_descriptors,
   cy__document__field_indices_by_name,
   1,  cy__document__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -366,10 +366,18 @@
    * of the text that the pieces make
    */
   uint64_t text_digest;
+  /*
+   * a Document with the other fields, deflated
+   */
+  ProtobufCBinaryData packed;
+  /*
+   * bytes that it inflates to
+   */
+  uint32_t packed_size;
 };
 #define CY__DOCUMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__document__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0,NULL, 0, {0,NULL}, 0 }
 
 
 /*
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -344,13 +344,31 @@
     fail_or_retry (request, cye_call_result (call), false);
 }
 
+/* True when silence on the call's connection may be the connection's fault.
+   At a hub a new one is trusted: servers there may be cold or slow, and their
+   usual time is not known at first.  */
+static bool
+may_be_dead (const struct cye_request *request)
+{
+  const struct cye_call *call = request->call;
+  if (!cye_call_sent (call) || cye_call_head (call)->complete)
+    return false;
+  switch (request->shared->layout)
+    {
+    case CYE_TREE:
+      return true;
+    case CYE_HUB:
+      return cye_call_reused (call);
+    }
+  return false;
+}
+
 void
 cye_forward_check (struct cye_request *request, cy_time_ns now)
 {
   struct cye_call *call = request->call;
   if (request->stage != CYE_CALLING || call == NULL || cye_call_ended (call)
-      || !request->idempotent || !cye_call_sent (call)
-      || cye_call_head (call)->complete)
+      || !request->idempotent || !may_be_dead (request))
     return;
   cy_time_ns patience = MAX (CYE_SILENT_MIN_MS * CY_NS_PER_MS,
                              CYE_SILENT_TIMES * request->ticket.answer_ns);
--- a/src/entry/cye_hub.c
+++ b/src/entry/cye_hub.c
@@ -191,6 +191,15 @@
   g_free (link);
 }
 
+/* When anything last came from LINK: a long message on a slow link is no
+   silence.  */
+static cy_time_ns
+heard_at (const struct cye_link *link)
+{
+  bool open = link->conn != NULL && cyn_conn_is_open (link->conn);
+  return open ? MAX (link->heard, cyn_conn_read_at (link->conn)) : link->heard;
+}
+
 /* ------------------------------------------------------------ which links */
 
 static bool
@@ -204,7 +213,7 @@
 is_live (const struct cye_link *link, cy_time_ns now)
 {
   return link->told && link->heard != 0
-         && now - link->heard < CYE_LINK_LIVE_MS * CY_NS_PER_MS;
+         && now - heard_at (link) < CYE_LINK_LIVE_MS * CY_NS_PER_MS;
 }
 
 /* Order in which this VM prefers control VMs of other regions: another one at
@@ -340,7 +349,7 @@
   CK_LIST_FOREACH (link, &hub->links, entry)
   {
     bool open = link->conn != NULL && cyn_conn_is_open (link->conn);
-    cy_time_ns last = MAX (link->heard, link->opened);
+    cy_time_ns last = MAX (heard_at (link), link->opened);
     if (open && now - last > 2 * CYE_LINK_LIVE_MS * CY_NS_PER_MS)
       {
         cyu_log (G_LOG_LEVEL_WARNING, "control VM at %s is silent",
@@ -368,7 +377,7 @@
   cym_match_tick (hub->match, now);
   if (link != NULL && oldest != 0)
     {
-      cy_time_ns silent = now - MAX (link->heard, oldest);
+      cy_time_ns silent = now - MAX (heard_at (link), oldest);
       if (silent > SILENT_MS * CY_NS_PER_MS)
         {
           cyu_log (G_LOG_LEVEL_WARNING,
--- a/src/entry/cye_hub_view.c
+++ b/src/entry/cye_hub_view.c
@@ -6,6 +6,7 @@
 
 #include "base/cyu_log.h"
 #include "core/cyi_delta.h"
+#include "core/cyi_pack.h"
 #include "entry/cye_hub_internal.h"
 
 /* Makes the whole text of FROM.  False when it starts from another one than is
@@ -30,14 +31,12 @@
 }
 
 static void
-take_document (struct cye_hub *hub, const struct cye_link *link,
-               const Cy__Document *from)
+take_plain (struct cye_hub *hub, const struct cye_link *link,
+            const Cy__Document *from)
 {
   struct cyj_error error = { "", "" };
   struct cyi_document *fresh = NULL;
   char *text = NULL;
-  if (hub->document != NULL && hub->document->number >= from->number)
-    return;
   if (!make_text (hub, from, &text))
     {
       cye_hub_report_all (hub);
@@ -67,6 +66,30 @@
     hub->changes++;
 }
 
+static void
+take_document (struct cye_hub *hub, const struct cye_link *link,
+               const Cy__Document *from)
+{
+  Cy__Document *plain = NULL;
+  if (hub->document != NULL && hub->document->number >= from->number)
+    return;
+  if (from->packed.len == 0)
+    {
+      take_plain (hub, link, from);
+      return;
+    }
+  cy_result result = cyi_unpack (from, &plain);
+  if (result != CY_OK)
+    {
+      cyu_log (G_LOG_LEVEL_CRITICAL,
+               "declaration %" PRIu64 " of %s cannot be inflated: %s",
+               from->number, link->host, cy_result_text (result));
+      return;
+    }
+  take_plain (hub, link, plain);
+  cy__document__free_unpacked (plain, NULL);
+}
+
 static bool
 same_zones (const GPtrArray *held, const Cy__HubView *view)
 {
--- a/src/hub/cyc_children.c
+++ b/src/hub/cyc_children.c
@@ -6,10 +6,13 @@
 
 #include "base/cyu_log.h"
 #include "core/cyi_delta.h"
+#include "core/cyi_pack.h"
 #include "hub/cyc_internal.h"
 
-#define TEXTS_KEPT  32  /* older declarations that a delta may start from */
-#define DOCUMENT_MS 400 /* ms, one way to another region and a report back */
+#define TEXTS_KEPT 32 /* older declarations that a delta may start from */
+#define DOCUMENT_MS                                                           \
+  1200 /* ms that an entry VM has to report a declaration it was sent: the    \
+          time that 300 KB take on a link of 2 Mbit/s */
 
 /* ------------------------------------------------------------ life */
 
@@ -31,7 +34,8 @@
   struct cyc_child *child = g_new0 (struct cyc_child, 1);
   child->hub = hub;
   child->conn = conn;
-  child->heard = cyc_now (hub);
+  child->opened = cyc_now (hub);
+  child->heard = child->opened;
   child->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
   CK_LIST_INSERT_HEAD (&hub->children, child, entry);
 }
@@ -172,15 +176,27 @@
 {
   uint64_t number;
   char *text;
-  Cy__Document delta; /* from this one to the newest, once asked for */
+  /* What makes the newest one of it, of the newest itself its whole text; made
+     when it is first asked for.  */
+  Cy__Document delta;
+  Cy__Document packed; /* the same deflated, if that is worth it */
   bool made;
 };
 
+static void
+text_forget (struct cyc_text *text)
+{
+  cyi_delta_clear (&text->delta);
+  cyi_pack_clear (&text->packed);
+  cy__document__init (&text->delta);
+  text->made = false;
+}
+
 static void
 text_free (gpointer data)
 {
   struct cyc_text *text = data;
-  cyi_delta_clear (&text->delta);
+  text_forget (text);
   g_free (text->text);
   g_free (text);
 }
@@ -191,11 +207,7 @@
   if (hub->texts == NULL)
     hub->texts = g_ptr_array_new_with_free_func (text_free);
   for (guint i = 0; i < hub->texts->len; i++)
-    {
-      struct cyc_text *older = g_ptr_array_index (hub->texts, i);
-      cyi_delta_clear (&older->delta);
-      older->made = false;
-    }
+    text_forget (g_ptr_array_index (hub->texts, i));
   if (hub->texts->len >= TEXTS_KEPT)
     g_ptr_array_remove_index (hub->texts, 0);
   struct cyc_text *text = g_new0 (struct cyc_text, 1);
@@ -206,45 +218,55 @@
   hub->document_at = cyc_now (hub);
 }
 
-/* Fills DOCUMENT with NEWEST for one that holds number HELD.  */
 static void
-fill_document (struct cyc_hub *hub, uint64_t held, const Cy__Document *newest,
-               Cy__Document *document)
+text_make (struct cyc_text *text, const struct cyc_text *newest)
+{
+  text->delta.number = newest->number;
+  if (text == newest)
+    text->delta.text = newest->text;
+  else
+    {
+      cyi_delta_make (text->text, newest->text, &text->delta);
+      text->delta.starts_from = text->number;
+    }
+  if (!cyi_pack (&text->delta, &text->packed))
+    text->packed = text->delta;
+  text->made = true;
+}
+
+/* What makes NEWEST of number HELD, or of nothing.  */
+static const Cy__Document *
+document_for (struct cyc_hub *hub, uint64_t held, const Cy__Document *newest)
 {
-  const struct cyc_text *last
-      = hub->texts == NULL || hub->texts->len == 0
-            ? NULL
-            : g_ptr_array_index (hub->texts, hub->texts->len - 1);
-  document->number = newest->number;
-  for (guint i = 0;
-       last != NULL && last->number == newest->number && i < hub->texts->len;
-       i++)
+  guint count = hub->texts == NULL ? 0 : hub->texts->len;
+  struct cyc_text *last
+      = count == 0 ? NULL : g_ptr_array_index (hub->texts, count - 1);
+  if (last == NULL || last->number != newest->number)
+    return newest;
+  struct cyc_text *from = last;
+  for (guint i = 0; i < count; i++)
     {
       struct cyc_text *text = g_ptr_array_index (hub->texts, i);
-      if (text->number != held)
-        continue;
-      if (!text->made)
-        cyi_delta_make (text->text, last->text, &text->delta);
-      text->made = true;
-      document->starts_from = held;
-      document->n_pieces = text->delta.n_pieces;
-      document->pieces = text->delta.pieces;
-      document->text_digest = text->delta.text_digest;
-      return;
+      if (text->number == held)
+        from = text;
     }
-  document->text = newest->text;
+  if (!from->made)
+    text_make (from, last);
+  return &from->packed;
 }
 
 /* True when CHILD needs NEWEST from this control VM: the one that places its
-   requests tells it at once, the others only if it did not.  */
+   requests tells it at once, the others only if it did not.  Otherwise all
+   send the same at once, and its link is full for seconds.  */
 static bool
 needs_document (const struct cyc_hub *hub, const struct cyc_child *child,
                 const Cy__Document *newest, cy_time_ns now)
 {
   return newest != NULL && newest->number > child->document
          && hub->document != NULL && hub->document->number == newest->number
-         && (child->attached || child->document == 0
-             || now - hub->document_at > DOCUMENT_MS * CY_NS_PER_MS);
+         && (child->attached
+             || now - MAX (hub->document_at, child->opened)
+                    > DOCUMENT_MS * CY_NS_PER_MS);
 }
 
 static void
@@ -253,7 +275,6 @@
   Cy__HubView view = CY__HUB_VIEW__INIT;
   Cy__Envelope envelope = CY__ENVELOPE__INIT;
   const Cy__Document *held = hub->current ? cyc_hub_document (hub) : NULL;
-  Cy__Document document = CY__DOCUMENT__INIT;
   fill_controls (hub, &view, now);
   fill_instances (hub, child, &view, now);
   count_entries (hub, child, &view);
@@ -265,8 +286,8 @@
     view.document_number = held->number;
   if (needs_document (hub, child, held, now))
     {
-      fill_document (hub, child->document, held, &document);
-      view.document = &document;
+      view.document
+          = (Cy__Document *)document_for (hub, child->document, held);
       child->document = held->number;
     }
   envelope.body_case = CY__ENVELOPE__BODY_HUB_VIEW;
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -97,6 +97,7 @@
   char *zone;
   char *region;
   bool attached;
+  cy_time_ns opened;
   cy_time_ns heard;
   uint64_t document; /* number in force there */
   uint64_t epoch;    /* of the register that it holds */
--- a/src/net/cyn_conn.c
+++ b/src/net/cyn_conn.c
@@ -419,6 +419,12 @@
   return conn->state == CONN_OPEN;
 }
 
+cy_time_ns
+cyn_conn_read_at (const struct cyn_conn *conn)
+{
+  return conn->last_read;
+}
+
 void
 cyn_conn_set_data (struct cyn_conn *conn, void *data)
 {
--- a/src/net/cyn_conn.h
+++ b/src/net/cyn_conn.h
@@ -74,6 +74,9 @@
 
 bool cyn_conn_is_open (const struct cyn_conn *conn);
 
+/* When bytes last came, of a whole message or not.  */
+cy_time_ns cyn_conn_read_at (const struct cyn_conn *conn);
+
 /* A pointer of the owner's on one connection.  */
 void cyn_conn_set_data (struct cyn_conn *conn, void *data);
 void *cyn_conn_data (const struct cyn_conn *conn);
--- a/tests/hub/test_delta.c
+++ b/tests/hub/test_delta.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/cyi_delta.h"
+#include "core/cyi_pack.h"
 #include "cy_test.h"
 
 struct pair
@@ -80,6 +81,91 @@
 }
 END_TEST
 
+/* A declaration of ROUTES routes, deflated and inflated again.  */
+static char *
+long_text (unsigned routes)
+{
+  GString *text = g_string_new ("{\"routes\":[");
+  for (unsigned i = 0; i < routes; i++)
+    g_string_append_printf (
+        text,
+        "{\"name\":\"route%u\",\"host\":\"h%u.example\","
+        "\"prefix\":\"/p%u/\",\"timeout_ms\":1000,\"rank\":2},",
+        i, i % 7, i * 7919);
+  return g_string_free (text, FALSE);
+}
+
+static const struct
+{
+  unsigned routes;
+  bool packs;
+  double part_most; /* of the plain size */
+} packs[] = {
+  { 0, false, 1 },
+  { 4, false, 1 },
+  { 100, true, 0.3 },
+  { 1300, true, 0.3 },
+};
+
+START_TEST (test_pack)
+{
+  Cy__Document plain = CY__DOCUMENT__INIT;
+  Cy__Document packed = CY__DOCUMENT__INIT;
+  Cy__Document *back = NULL;
+  char *text = long_text (packs[_i].routes);
+  plain.number = 7;
+  plain.text = text;
+  ck_assert_int_eq (cyi_pack (&plain, &packed), packs[_i].packs);
+  if (packs[_i].packs)
+    {
+      ck_assert_uint_eq (packed.number, 7);
+      ck_assert_uint_le (packed.packed.len,
+                         (size_t)(strlen (text) * packs[_i].part_most));
+      ck_assert_int_eq (cyi_unpack (&packed, &back), CY_OK);
+      ck_assert_str_eq (back->text, text);
+      cy__document__free_unpacked (back, NULL);
+    }
+  cyi_pack_clear (&packed);
+  g_free (text);
+}
+END_TEST
+
+/* Packed declarations that are none: cut short, one byte changed, of another
+   size than they say.  */
+START_TEST (test_bad_pack)
+{
+  Cy__Document plain = CY__DOCUMENT__INIT;
+  Cy__Document packed = CY__DOCUMENT__INIT;
+  Cy__Document *back = NULL;
+  char *text = long_text (100);
+  plain.text = text;
+  ck_assert (cyi_pack (&plain, &packed));
+  static const int sizes[] = { -1, 1, 1 << 30 };
+  uint32_t size = packed.packed_size;
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      packed.packed_size = size + (uint32_t)sizes[i];
+      ck_assert_int_eq (cyi_unpack (&packed, &back), CY_E_FRAME_MALFORMED);
+    }
+  packed.packed_size = 0;
+  ck_assert_int_eq (cyi_unpack (&packed, &back), CY_E_FRAME_MALFORMED);
+  packed.packed_size = size;
+  size_t length = packed.packed.len;
+  for (packed.packed.len = 0; packed.packed.len < length;
+       packed.packed.len += 37)
+    ck_assert_int_eq (cyi_unpack (&packed, &back), CY_E_FRAME_MALFORMED);
+  packed.packed.len = length;
+  for (size_t at = 0; at < length; at += 11)
+    {
+      packed.packed.data[at] ^= 0x20;
+      ck_assert_int_eq (cyi_unpack (&packed, &back), CY_E_FRAME_MALFORMED);
+      packed.packed.data[at] ^= 0x20;
+    }
+  cyi_pack_clear (&packed);
+  g_free (text);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -87,6 +173,8 @@
   TCase *tcase = tcase_create ("delta");
   tcase_add_loop_test (tcase, test_pairs, 0, G_N_ELEMENTS (pairs));
   tcase_add_loop_test (tcase, test_broken, 0, G_N_ELEMENTS (broken));
+  tcase_add_loop_test (tcase, test_pack, 0, G_N_ELEMENTS (packs));
+  tcase_add_test (tcase, test_bad_pack);
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
