--- a/src/base/cyu_metrics.c
+++ b/src/base/cyu_metrics.c
@@ -25,7 +25,9 @@
 };
 
 static GMutex metrics_lock;
-static GPtrArray *metrics; /* struct cyu_metric, sorted by name */
+static GPtrArray *metrics;     /* struct cyu_metric, sorted by name */
+static GHashTable *by_key;     /* "NAME{LABELS" to struct cyu_metric */
+static GHashTable *label_sets; /* name to their number */
 
 static gint
 compare_metrics (gconstpointer a, gconstpointer b)
@@ -36,17 +38,43 @@
   return order != 0 ? order : strcmp (left->labels, right->labels);
 }
 
+#define KEY_MAX 512 /* bytes of a name and its labels */
+
+/* With the lock held.  */
 static struct cyu_metric *
 metric_find (const char *name, const char *labels)
 {
-  for (guint i = 0; i < metrics->len; i++)
+  char key[KEY_MAX];
+  if (metrics == NULL)
     {
-      struct cyu_metric *metric = g_ptr_array_index (metrics, i);
-      if (strcmp (metric->name, name) == 0
-          && strcmp (metric->labels, labels) == 0)
-        return metric;
+      metrics = g_ptr_array_new ();
+      by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      label_sets = g_hash_table_new (g_str_hash, g_str_equal);
     }
-  return NULL;
+  g_snprintf (key, sizeof key, "%s{%s", name, labels);
+  return g_hash_table_lookup (by_key, key);
+}
+
+/* With the lock held.  */
+static struct cyu_metric *
+metric_add_new (const char *name, const char *labels, const char *help,
+                const char *type)
+{
+  char key[KEY_MAX];
+  struct cyu_metric *metric = g_new0 (struct cyu_metric, 1);
+  metric->name = g_strdup (name);
+  metric->labels = g_strdup (labels);
+  metric->help = help;
+  metric->type = type;
+  if (strcmp (type, "histogram") == 0)
+    metric->histogram = g_new0 (struct histogram, 1);
+  g_ptr_array_add (metrics, metric);
+  g_ptr_array_sort (metrics, compare_metrics);
+  g_snprintf (key, sizeof key, "%s{%s", name, labels);
+  g_hash_table_insert (by_key, g_strdup (key), metric);
+  guint sets = GPOINTER_TO_UINT (g_hash_table_lookup (label_sets, name));
+  g_hash_table_insert (label_sets, metric->name, GUINT_TO_POINTER (sets + 1));
+  return metric;
 }
 
 static struct cyu_metric *
@@ -54,21 +82,28 @@
             const char *type)
 {
   g_mutex_lock (&metrics_lock);
-  if (metrics == NULL)
-    metrics = g_ptr_array_new ();
   struct cyu_metric *metric = metric_find (name, labels);
   if (metric == NULL)
+    metric = metric_add_new (name, labels, help, type);
+  g_mutex_unlock (&metrics_lock);
+  return metric;
+}
+
+struct cyu_metric *
+cyu_counter_bounded (const char *name, const char *labels, const char *rest,
+                     const char *help)
+{
+  g_mutex_lock (&metrics_lock);
+  struct cyu_metric *metric = metric_find (name, labels);
+  if (metric == NULL
+      && GPOINTER_TO_UINT (g_hash_table_lookup (label_sets, name))
+             >= CYU_LABEL_SETS_MOST)
     {
-      metric = g_new0 (struct cyu_metric, 1);
-      metric->name = g_strdup (name);
-      metric->labels = g_strdup (labels);
-      metric->help = help;
-      metric->type = type;
-      if (strcmp (type, "histogram") == 0)
-        metric->histogram = g_new0 (struct histogram, 1);
-      g_ptr_array_add (metrics, metric);
-      g_ptr_array_sort (metrics, compare_metrics);
+      labels = rest;
+      metric = metric_find (name, labels);
     }
+  if (metric == NULL)
+    metric = metric_add_new (name, labels, help, "counter");
   g_mutex_unlock (&metrics_lock);
   return metric;
 }
@@ -91,6 +126,25 @@
   return metric_get (name, labels, help, "histogram");
 }
 
+void
+cyu_label (GString *labels, const char *label, const char *value)
+{
+  g_string_append_printf (labels, "%s%s=\"", labels->len > 0 ? "," : "",
+                          label);
+  for (const char *at = value; *at != '\0'; at++)
+    {
+      if (*at == '\n')
+        g_string_append (labels, "\\n");
+      else
+        {
+          if (*at == '"' || *at == '\\')
+            g_string_append_c (labels, '\\');
+          g_string_append_c (labels, *at);
+        }
+    }
+  g_string_append_c (labels, '"');
+}
+
 /* Upper bound of bucket INDEX, µs.  */
 static int64_t
 bound_of (int index)
--- a/src/base/cyu_metrics.h
+++ b/src/base/cyu_metrics.h
@@ -16,6 +16,15 @@
 struct cyu_metric *cyu_gauge (const char *name, const char *labels,
                               const char *help);
 
+/* The same for labels that come from declarations and may be many: past
+   CYU_LABEL_SETS_MOST of them NAME counts under the labels REST.  */
+#define CYU_LABEL_SETS_MOST 256 /* lines of one name, about 20 KB of text */
+struct cyu_metric *cyu_counter_bounded (const char *name, const char *labels,
+                                        const char *rest, const char *help);
+
+/* Appends LABEL="VALUE" to LABELS, escaped as the text format asks.  */
+void cyu_label (GString *labels, const char *label, const char *value);
+
 void cyu_metric_add (struct cyu_metric *metric, int64_t amount);
 void cyu_metric_set (struct cyu_metric *metric, int64_t value);
 int64_t cyu_metric_read (const struct cyu_metric *metric);
--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -85,6 +85,24 @@
   cyu_metric_add (placed, 1);
 }
 
+/* Counts a decision for what it names: its route, its workspace.  */
+static void
+count_by (const char *metric, const char *label, const char *value,
+          cy_result result)
+{
+  GString *labels = g_string_new (NULL);
+  GString *rest = g_string_new (NULL);
+  cyu_label (labels, label, value);
+  cyu_label (labels, "result", cy_result_name (result));
+  cyu_label (rest, label, "others");
+  cyu_label (rest, "result", cy_result_name (result));
+  cyu_metric_add (cyu_counter_bounded (metric, labels->str, rest->str,
+                                       "Decisions on requests."),
+                  1);
+  g_string_free (labels, TRUE);
+  g_string_free (rest, TRUE);
+}
+
 /* One line for a decision, with the room that it rests on.  */
 static void
 log_decision (const struct cyc_job *job, cy_result result)
@@ -132,6 +150,9 @@
   cyu_metric_time (waits, job->ask.waited / CY_NS_PER_US);
   log_decision (job, result);
   count (result);
+  count_by ("cy_hub_route_decisions_total", "route", job->ask.route, result);
+  count_by ("cy_hub_workspace_decisions_total", "workspace",
+            job->ask.workspace, result);
   send_answer (job, result);
   if (result != CY_OK)
     job_free (job);
--- /dev/null
+++ b/tests/base/test_metrics.c
@@ -0,0 +1,66 @@
+/* Counters with labels that come from declarations.  */
+
+#include <string.h>
+
+#include "base/cyu_metrics.h"
+#include "cy_test.h"
+
+static const struct
+{
+  const char *value;
+  const char *text;
+} labels[] = {
+  { "r-1", "route=\"r-1\"" },     { "", "route=\"\"" },
+  { "a\"b", "route=\"a\\\"b\"" }, { "a\\b", "route=\"a\\\\b\"" },
+  { "a\nb", "route=\"a\\nb\"" },
+};
+
+START_TEST (test_label)
+{
+  GString *text = g_string_new (NULL);
+  cyu_label (text, "route", labels[_i].value);
+  ck_assert_str_eq (text->str, labels[_i].text);
+  cyu_label (text, "more", "x");
+  ck_assert (g_str_has_suffix (text->str, ",more=\"x\""));
+  g_string_free (text, TRUE);
+}
+END_TEST
+
+/* A declaration of many routes: each of the first ones has its own count, the
+   rest is counted together, nothing is lost.  */
+START_TEST (test_many)
+{
+  const unsigned many = 3 * CYU_LABEL_SETS_MOST;
+  for (unsigned round = 0; round < 2; round++)
+    for (unsigned i = 0; i < many; i++)
+      {
+        char text[32];
+        g_snprintf (text, sizeof text, "route=\"r%u\"", i);
+        cyu_metric_add (
+            cyu_counter_bounded ("many_total", text, "route=\"others\"", "h"),
+            1);
+      }
+  struct cyu_metric *first
+      = cyu_counter_bounded ("many_total", "route=\"r0\"", "", "h");
+  struct cyu_metric *rest
+      = cyu_counter_bounded ("many_total", "route=\"others\"", "", "h");
+  ck_assert_int_eq (cyu_metric_read (first), 2);
+  ck_assert_int_eq (cyu_metric_read (rest), 2 * (many - CYU_LABEL_SETS_MOST));
+  /* Another name has room of its own.  */
+  cyu_metric_add (cyu_counter_bounded ("other_total", "a=\"1\"", "", "h"), 5);
+  char *text = cyu_metrics_print ();
+  ck_assert_ptr_nonnull (strstr (text, "other_total{a=\"1\"} 5"));
+  g_free (text);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("metrics");
+  TCase *tcase = tcase_create ("metrics");
+  tcase_add_loop_test (tcase, test_label, 0, G_N_ELEMENTS (labels));
+  tcase_add_test (tcase, test_many);
+  suite_add_tcase (suite, tcase);
+  return cy_test_run (suite);
+}
