A declaration on its way is not sent again with every report

Cause: an entry VM reports twice a second, and every 150 ms while its requests wait; each report that still named the older declaration had the placer send the new one again, onto the link that was full of it.

Change: who sends what and when is decided in one place without input or output (cyi_sending): at once by the placer, after 1.2 s by others, and again on the same connection only after 1.2 s or when the entry VM holds another one by then.

Conclusion: a report no longer costs a declaration.

--- /dev/null
+++ b/src/core/cyi_sending.h
@@ -0,0 +1,38 @@
+/* When a control VM sends an entry VM the declaration that it lacks.  The one
+   that places its requests does so at once, the others only when it did not:
+   otherwise all send the same at the same time, and a slow link is full for
+   seconds.  What is on its way is not sent again until it should have come.
+   Pure.  */
+
+#ifndef CYI_SENDING_H
+#define CYI_SENDING_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/cy_clock.h"
+
+#define CYI_SENDING_MS                                                        \
+  1200 /* ms that an entry VM has to report a declaration it was sent: the    \
+          time that 300 KB take on a link of 2 Mbit/s */
+
+/* One entry VM, as its control VM sees it.  */
+struct cyi_sending
+{
+  bool attached;      /* its requests are placed here */
+  cy_time_ns opened;  /* its connection */
+  uint64_t held;      /* number that it reported, 0: none */
+  uint64_t sent;      /* number sent last on this connection, 0: none */
+  uint64_t sent_over; /* what it held by then */
+  cy_time_ns sent_at;
+};
+
+/* True when declaration NEWEST, adopted here at SINCE, is to be sent.  */
+bool cyi_sending_due (const struct cyi_sending *to, uint64_t newest,
+                      cy_time_ns since, cy_time_ns now);
+
+/* It was sent.  */
+void cyi_sending_note (struct cyi_sending *to, uint64_t newest,
+                       cy_time_ns now);
+
+#endif /* CYI_SENDING_H */
--- a/src/hub/cyc_children.c
+++ b/src/hub/cyc_children.c
@@ -10,10 +10,6 @@
 #include "hub/cyc_internal.h"
 
 #define TEXTS_KEPT 32 /* older declarations that a delta may start from */
-#define DOCUMENT_MS                                                           \
-  1200 /* ms that an entry VM has to report a declaration it was sent: the    \
-          time that 300 KB take on a link of 2 Mbit/s */
-
 /* ------------------------------------------------------------ life */
 
 struct cyc_child *
@@ -34,8 +30,8 @@
   struct cyc_child *child = g_new0 (struct cyc_child, 1);
   child->hub = hub;
   child->conn = conn;
-  child->opened = cyc_now (hub);
-  child->heard = child->opened;
+  child->heard = cyc_now (hub);
+  child->sending.opened = child->heard;
   child->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
   CK_LIST_INSERT_HEAD (&hub->children, child, entry);
 }
@@ -81,13 +77,13 @@
                child->vm, child->zone);
     }
   child->heard = now;
-  child->document = report->document_number;
+  child->sending.held = report->document_number;
   child->epoch = report->epoch;
   child->sequence = report->sequence;
   child->report = report->number;
   child->due = true;
-  bool moved = child->attached != report->attached;
-  child->attached = report->attached;
+  bool moved = child->sending.attached != report->attached;
+  child->sending.attached = report->attached;
   enum cyc_news news = cyc_register_entry (hub->reg, report->self, true, now);
   if (news == CYC_CHANGED || moved)
     cyc_dispatch_share (hub);
@@ -255,18 +251,15 @@
   return &from->packed;
 }
 
-/* True when CHILD needs NEWEST from this control VM: the one that places its
-   requests tells it at once, the others only if it did not.  Otherwise all
-   send the same at once, and its link is full for seconds.  */
+/* True when CHILD is to be sent NEWEST now.  */
 static bool
 needs_document (const struct cyc_hub *hub, const struct cyc_child *child,
                 const Cy__Document *newest, cy_time_ns now)
 {
-  return newest != NULL && newest->number > child->document
-         && hub->document != NULL && hub->document->number == newest->number
-         && (child->attached
-             || now - MAX (hub->document_at, child->opened)
-                    > DOCUMENT_MS * CY_NS_PER_MS);
+  return newest != NULL && hub->document != NULL
+         && hub->document->number == newest->number
+         && cyi_sending_due (&child->sending, newest->number, hub->document_at,
+                             now);
 }
 
 static void
@@ -287,8 +280,8 @@
   if (needs_document (hub, child, held, now))
     {
       view.document
-          = (Cy__Document *)document_for (hub, child->document, held);
-      child->document = held->number;
+          = (Cy__Document *)document_for (hub, child->sending.held, held);
+      cyi_sending_note (&child->sending, held->number, now);
     }
   envelope.body_case = CY__ENVELOPE__BODY_HUB_VIEW;
   envelope.hub_view = &view;
--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -382,7 +382,7 @@
   CK_LIST_FOREACH (child, &hub->children, entry)
   {
     bool live = now - child->heard < SILENT_LOSS * CY_NS_PER_MS;
-    attached += child->attached && live
+    attached += child->sending.attached && live
                 && strcmp (child->region, hub->options.region) == 0;
   }
   hub->entries = known;
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -18,6 +18,7 @@
 
 #include "control/cyx_replica.h"
 #include "core/cyc_register.h"
+#include "core/cyi_sending.h"
 #include "core/cym_quota.h"
 #include "core/cys_state.h"
 #include "hub/cyc_hub.h"
@@ -96,11 +97,9 @@
   char *vm; /* NULL until it reported */
   char *zone;
   char *region;
-  bool attached;
-  cy_time_ns opened;
+  struct cyi_sending sending; /* of declarations */
   cy_time_ns heard;
-  uint64_t document; /* number in force there */
-  uint64_t epoch;    /* of the register that it holds */
+  uint64_t epoch; /* of the register that it holds */
   uint64_t sequence;
   uint64_t sent;    /* sequence of the register sent */
   uint64_t report;  /* number to echo */
