An entry VM without a placer gets declarations however often they change

Both control VMs of the entry VM's region had no power; the one of another region that it also talks to waits 1.2 s whether the placer sends, and each new declaration began that wait anew: versions at 11.3, 12.0, 13.0 and 13.4 s, and the entry VM held 62 until 13.12 s. Ruled out: a lost connection (it stood all the time).

Change: the wait runs from the moment at which the entry VM fell behind; whoever sent what it holds sends the next ones at once.

--- a/src/core/cyi_sending.c
+++ b/src/core/cyi_sending.c
@@ -6,18 +6,30 @@
   return now - since > CYI_SENDING_MS * CY_NS_PER_MS;
 }
 
+void
+cyi_sending_report (struct cyi_sending *to, uint64_t held)
+{
+  if (held != to->held)
+    to->behind = 0;
+  to->held = held;
+}
+
 bool
-cyi_sending_due (const struct cyi_sending *to, uint64_t newest,
-                 cy_time_ns since, cy_time_ns now)
+cyi_sending_due (struct cyi_sending *to, uint64_t newest, cy_time_ns now)
 {
   if (newest <= to->held)
-    return false;
+    {
+      to->behind = 0;
+      return false;
+    }
+  if (to->behind == 0)
+    to->behind = now;
   /* It is on its way, unless the entry VM has got another one meanwhile, from
      which this one cannot be made.  */
   if (to->sent == newest && to->sent_over == to->held)
     return has_passed (to->sent_at, now);
-  cy_time_ns begun = since > to->opened ? since : to->opened;
-  return to->attached || has_passed (begun, now);
+  bool from_here = to->sent != 0 && to->held == to->sent;
+  return to->attached || from_here || has_passed (to->behind, now);
 }
 
 void
--- a/src/core/cyi_sending.h
+++ b/src/core/cyi_sending.h
@@ -1,8 +1,8 @@
 /* When a control VM sends an entry VM the declaration that it lacks.  The one
-   that places its requests does so at once, the others only when it did not:
-   otherwise all send the same at the same time, and a slow link is full for
-   seconds.  What is on its way is not sent again until it should have come.
-   Pure.  */
+   that places its requests does so at once, and one from which it got the
+   declaration that it holds; the others only when it stays behind: otherwise
+   all send the same at the same time, and a slow link is full for seconds.
+   What is on its way is not sent again until it should have come.  Pure.  */
 
 #ifndef CYI_SENDING_H
 #define CYI_SENDING_H
@@ -20,16 +20,20 @@
 struct cyi_sending
 {
   bool attached;      /* its requests are placed here */
-  cy_time_ns opened;  /* its connection */
   uint64_t held;      /* number that it reported, 0: none */
+  cy_time_ns behind;  /* since when it holds that though there is a newer one,
+                         0: it does not */
   uint64_t sent;      /* number sent last on this connection, 0: none */
   uint64_t sent_over; /* what it held by then */
   cy_time_ns sent_at;
 };
 
-/* True when declaration NEWEST, adopted here at SINCE, is to be sent.  */
-bool cyi_sending_due (const struct cyi_sending *to, uint64_t newest,
-                      cy_time_ns since, cy_time_ns now);
+/* It reported that it holds number HELD.  */
+void cyi_sending_report (struct cyi_sending *to, uint64_t held);
+
+/* True when declaration NEWEST is to be sent.  Called as soon as there is a
+   newer one, and again as time passes.  */
+bool cyi_sending_due (struct cyi_sending *to, uint64_t newest, cy_time_ns now);
 
 /* It was sent.  */
 void cyi_sending_note (struct cyi_sending *to, uint64_t newest,
--- a/src/hub/cyc_children.c
+++ b/src/hub/cyc_children.c
@@ -31,7 +31,6 @@
   child->hub = hub;
   child->conn = conn;
   child->heard = cyc_now (hub);
-  child->sending.opened = child->heard;
   child->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
   CK_LIST_INSERT_HEAD (&hub->children, child, entry);
 }
@@ -77,7 +76,7 @@
                child->vm, child->zone);
     }
   child->heard = now;
-  child->sending.held = report->document_number;
+  cyi_sending_report (&child->sending, report->document_number);
   child->epoch = report->epoch;
   child->sequence = report->sequence;
   child->report = report->number;
@@ -211,7 +210,6 @@
   text->number = document->number;
   text->text = g_strdup (document->text);
   g_ptr_array_add (hub->texts, text);
-  hub->document_at = cyc_now (hub);
 }
 
 static void
@@ -253,13 +251,12 @@
 
 /* True when CHILD is to be sent NEWEST now.  */
 static bool
-needs_document (const struct cyc_hub *hub, const struct cyc_child *child,
+needs_document (const struct cyc_hub *hub, struct cyc_child *child,
                 const Cy__Document *newest, cy_time_ns now)
 {
   return newest != NULL && hub->document != NULL
          && hub->document->number == newest->number
-         && cyi_sending_due (&child->sending, newest->number, hub->document_at,
-                             now);
+         && cyi_sending_due (&child->sending, newest->number, now);
 }
 
 static void
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -150,7 +150,6 @@
   struct cyn_timer *follow; /* looks at the state once it has settled */
   bool told_anew;           /* every entry VM has to be told */
   GPtrArray *texts; /* struct cyc_text, the newest last; NULL: none yet */
-  cy_time_ns document_at; /* the newest was adopted */
   bool was_isolated;
   bool leaving;
   cyn_fn stopped;
--- a/src/load/cyg_drive.c
+++ b/src/load/cyg_drive.c
@@ -50,6 +50,7 @@
   double split_ms[5];
   int sends;
   int attempts;
+  bool perhaps_ran; /* an earlier attempt was sent and brought no answer */
   unsigned rank;
   cy_time_ns begun;
   int64_t unix_ms;
@@ -158,6 +159,17 @@
   return code;
 }
 
+/* "not-run" is true of the last attempt; of the request only when no earlier
+   one may have run.  */
+static const char *
+outcome_of (const struct shot *shot)
+{
+  if ((shot->perhaps_ran || shot->sends > 1)
+      && strcmp (shot->outcome, "not-run") == 0)
+    return "unknown";
+  return shot->outcome[0] != '\0' ? shot->outcome : "none";
+}
+
 static void
 report (struct shot *shot, CURLcode code, long status)
 {
@@ -167,7 +179,7 @@
     .method = shot->post ? "POST" : "GET",
     .service = shot->drive->options.service,
     .entry = shot->entry,
-    .outcome = shot->outcome[0] != '\0' ? shot->outcome : "none",
+    .outcome = outcome_of (shot),
     .error = code == CURLE_OK ? "" : curl_easy_strerror (code),
     .status = status,
     .attempts = shot->attempts,
@@ -387,6 +399,8 @@
   cyh_client_give (drive->client, easy);
   if (may_go_elsewhere (shot, code, status))
     {
+      shot->perhaps_ran
+          = shot->perhaps_ran || (code != CURLE_OK && shot->sends > 0);
       shot->rank++;
       shot_send (shot);
       return;
