Long work on a new connection is not taken for silence

Ruled out: the withdrawal, the last run was 834 ms before it.

Change: on a new connection the watch waits for half of the time that the request has, too.

--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -363,6 +363,20 @@
   return false;
 }
 
+/* How long the attempt may be without a first byte.  On a new connection half
+   of the time that it has: long work is no silence, and another attempt still
+   fits.  */
+static cy_time_ns
+patience_of (const struct cye_request *request)
+{
+  const struct cye_call *call = request->call;
+  cy_time_ns patience = MAX (CYE_SILENT_MIN_MS * CY_NS_PER_MS,
+                             CYE_SILENT_TIMES * request->ticket.answer_ns);
+  if (cye_call_reused (call))
+    return patience;
+  return MAX (patience, (request->deadline - cye_call_sent_at (call)) / 2);
+}
+
 void
 cye_forward_check (struct cye_request *request, cy_time_ns now)
 {
@@ -370,9 +384,8 @@
   if (request->stage != CYE_CALLING || call == NULL || cye_call_ended (call)
       || !request->idempotent || !may_be_dead (request))
     return;
-  cy_time_ns patience = MAX (CYE_SILENT_MIN_MS * CY_NS_PER_MS,
-                             CYE_SILENT_TIMES * request->ticket.answer_ns);
-  if (now - cye_call_sent_at (call) < patience || !may_retry (request, false))
+  if (now - cye_call_sent_at (call) < patience_of (request)
+      || !may_retry (request, false))
     return;
   count_retry ("why=\"silent\"");
   request->sent_before = true;
--- a/tests/path/raw_server.h
+++ b/tests/path/raw_server.h
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #define RAW_REQUEST_MAX 65536 /* bytes */
+#define RAW_LATE_US     900000
 #define RAW_OK          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 /* What is done with a request.  */
@@ -25,6 +26,7 @@
   RAW_ANSWER_AND_CLOSE, /* the same, then closes */
   RAW_CLOSE,            /* reads it and closes */
   RAW_RESET,            /* reads it and resets the connection */
+  RAW_LATE,             /* sends the script's text after RAW_LATE_US */
   RAW_SILENT            /* reads it and never answers */
 };
 
@@ -94,6 +96,9 @@
   struct linger linger = { 1, 0 };
   switch (act)
     {
+    case RAW_LATE:
+      usleep (RAW_LATE_US); /* how long the work takes */
+      return send (conn->fd, text, strlen (text), MSG_NOSIGNAL) > 0;
     case RAW_ANSWER:
       return send (conn->fd, text, strlen (text), MSG_NOSIGNAL) > 0;
     case RAW_ANSWER_AND_CLOSE:
--- a/tests/path/test_resend.c
+++ b/tests/path/test_resend.c
@@ -120,6 +120,25 @@
 }
 END_TEST
 
+/* Long work on a new connection is not taken for silence.  */
+START_TEST (test_long_work)
+{
+  struct raw_script script = { RAW_LATE, RAW_LATE, NULL };
+  struct raw_server *server = raw_server_start (script);
+  world_prepare (false);
+  world_backend ("b1", server->port, false);
+  world_start ();
+  CURL *easy = curl_easy_init ();
+  struct reply reply
+      = ask (easy, "GET", "/", WORLD_KEY, NULL, "Cy-Timeout-Ms: 2500");
+  ck_assert_int_eq (reply.status, 200);
+  ck_assert_int_eq (atomic_load (&server->requests), 1);
+  reply_clear (&reply);
+  curl_easy_cleanup (easy);
+  world_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -130,6 +149,7 @@
   tcase_add_loop_test (tcase, test_request_path, 0, G_N_ELEMENTS (rows));
   tcase_add_loop_test (tcase, test_lost_new_connection, 0,
                        G_N_ELEMENTS (lost_rows));
+  tcase_add_test (tcase, test_long_work);
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
