A loan of slots is of one incarnation of a backend server

Loans were kept by the server's name alone. After a server started anew while a request still ran at its former incarnation both stood in the matcher's list: the loan was counted for the new one and then set to 0 for the old one, and taking one slot back made it 4,294,967,295.

Change: core/cym_loans.c holds the loans, by region, name and start; what cannot be lent is dropped before anything is counted; a borrower takes only loans of the incarnation that it knows. cym_match_give was not used and is gone.

Conclusion: a control VM could hang for good on the users' platform, too, when a replaced backend server comes back under its name while a region lends it.

--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -530,19 +530,11 @@
 }
 
 void
-cym_match_give (struct cym_match *match, const char *id, uint32_t slots)
+cym_match_lend (struct cym_match *match, const char *id, uint64_t born,
+                uint32_t slots, cy_time_ns now)
 {
   struct cym_server *server = cym_match_find (match, id);
-  if (server != NULL && server->own)
-    server->given = slots;
-}
-
-void
-cym_match_lend (struct cym_match *match, const char *id, uint32_t slots,
-                cy_time_ns now)
-{
-  struct cym_server *server = cym_match_find (match, id);
-  if (server == NULL || server->own)
+  if (server == NULL || server->own || server->born != born)
     return;
   bool more = slots > server->lent;
   server->lent = slots;
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -246,11 +246,10 @@
 void cym_match_each_home (struct cym_match *match, const char *service,
                           cy_time_ns now, cym_home_fn each, void *context);
 
-/* Sets how many slots of server ID others may use (OWN), or this matcher may
-   (lent by another region).  */
-void cym_match_give (struct cym_match *match, const char *id, uint32_t slots);
-void cym_match_lend (struct cym_match *match, const char *id, uint32_t slots,
-                     cy_time_ns now);
+/* Sets how many slots of server ID, the incarnation that started at BORN,
+   another region lends to this matcher.  */
+void cym_match_lend (struct cym_match *match, const char *id, uint64_t born,
+                     uint32_t slots, cy_time_ns now);
 
 /* ------------------------------------------------------------ questions */
 
--- a/src/hub/cyc_hub.c
+++ b/src/hub/cyc_hub.c
@@ -249,10 +249,10 @@
   struct cyc_child *child = NULL;
   while ((child = CK_LIST_FIRST (&hub->children)) != NULL)
     cyc_children_close (hub, child->conn);
+  cyc_lending_destroy (hub);
   cyc_dispatch_destroy (hub);
   if (hub->texts != NULL)
     g_ptr_array_unref (hub->texts);
-  cyc_lending_destroy (hub);
   cyc_register_destroy (hub->reg);
   cyi_document_destroy (hub->document);
   g_ptr_array_unref (hub->drained);
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -19,6 +19,7 @@
 #include "control/cyx_replica.h"
 #include "core/cyc_register.h"
 #include "core/cyi_sending.h"
+#include "core/cym_loans.h"
 #include "core/cym_quota.h"
 #include "core/cys_state.h"
 #include "hub/cyc_hub.h"
@@ -65,7 +66,7 @@
   bool wants_join;
   bool leads;
   uint64_t committed;
-  GHashTable *lent; /* set of ids of servers that it lends slots of */
+  GHashTable *lent; /* servers that it lends slots of: id to uint64_t born */
 };
 
 /* What another region could use of one service here, in slots.  */
@@ -79,15 +80,6 @@
   cy_time_ns at;
 };
 
-/* Slots of one server that another region may use.  */
-struct cyc_loan
-{
-  char region[CYM_NAME_MAX];
-  char instance[CYM_NAME_MAX];
-  uint64_t born;
-  uint32_t slots;
-};
-
 /* An entry VM's connection.  */
 struct cyc_child
 {
@@ -140,7 +132,7 @@
   struct cym_match *match;
   struct cym_quota *quota;
   struct cyn_timer *match_timer;
-  GHashTable *loans; /* "REGION/INSTANCE" to struct cyc_loan */
+  struct cym_loans *loans;
   GHashTable *wants; /* "REGION/SERVICE" to struct cyc_want */
   CK_LIST_HEAD (cyc_jobs, cyc_job) jobs;
   unsigned entries; /* known in the own region */
--- a/src/hub/cyc_lending.c
+++ b/src/hub/cyc_lending.c
@@ -101,26 +101,24 @@
   g_ptr_array_add (telling->needs, need);
 }
 
+static void
+add_loan (const struct cym_loan *held, void *context)
+{
+  GPtrArray *list = context;
+  Cy__Loan *loan = g_new (Cy__Loan, 1);
+  cy__loan__init (loan);
+  loan->region = g_strdup (held->region);
+  loan->instance = g_strdup (held->server);
+  loan->born = held->born;
+  loan->slots = held->slots;
+  g_ptr_array_add (list, loan);
+}
+
 static void
 fill_loans (struct cyc_hub *hub, Cy__HubSync *sync)
 {
   GPtrArray *list = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, hub->loans);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct cyc_loan *held = value;
-      if (held->slots == 0)
-        continue;
-      Cy__Loan *loan = g_new (Cy__Loan, 1);
-      cy__loan__init (loan);
-      loan->region = g_strdup (held->region);
-      loan->instance = g_strdup (held->instance);
-      loan->born = held->born;
-      loan->slots = held->slots;
-      g_ptr_array_add (list, loan);
-    }
+  cym_loans_each (hub->loans, add_loan, list);
   sync->n_loans = list->len;
   sync->loans = (Cy__Loan **)(void *)g_ptr_array_free (list, FALSE);
 }
@@ -166,9 +164,10 @@
 {
   GHashTableIter iter;
   gpointer id;
+  gpointer born;
   g_hash_table_iter_init (&iter, peer->lent);
-  while (g_hash_table_iter_next (&iter, &id, NULL))
-    cym_match_lend (hub->match, id, 0, cyc_now (hub));
+  while (g_hash_table_iter_next (&iter, &id, &born))
+    cym_match_lend (hub->match, id, *(uint64_t *)born, 0, cyc_now (hub));
   g_hash_table_remove_all (peer->lent);
 }
 
@@ -177,21 +176,24 @@
             const Cy__HubSync *sync)
 {
   GHashTable *fresh
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   GHashTableIter iter;
   gpointer id;
+  gpointer born;
   for (size_t i = 0; i < sync->n_loans; i++)
     {
       const Cy__Loan *loan = sync->loans[i];
       if (strcmp (loan->region, hub->options.region) != 0)
         continue;
-      g_hash_table_add (fresh, g_strdup (loan->instance));
-      cym_match_lend (hub->match, loan->instance, loan->slots, cyc_now (hub));
+      g_hash_table_insert (fresh, g_strdup (loan->instance),
+                           g_memdup2 (&loan->born, sizeof loan->born));
+      cym_match_lend (hub->match, loan->instance, loan->born, loan->slots,
+                      cyc_now (hub));
     }
   g_hash_table_iter_init (&iter, peer->lent);
-  while (g_hash_table_iter_next (&iter, &id, NULL))
+  while (g_hash_table_iter_next (&iter, &id, &born))
     if (!g_hash_table_contains (fresh, id))
-      cym_match_lend (hub->match, id, 0, cyc_now (hub));
+      cym_match_lend (hub->match, id, *(uint64_t *)born, 0, cyc_now (hub));
   g_hash_table_destroy (peer->lent);
   peer->lent = fresh;
 }
@@ -263,101 +265,6 @@
 
 /* ------------------------------------------------------------ lending */
 
-static struct cyc_loan *
-loan_get (struct cyc_hub *hub, const char *region,
-          const struct cym_server *server)
-{
-  char *key = g_strconcat (region, "/", server->id, NULL);
-  struct cyc_loan *loan = g_hash_table_lookup (hub->loans, key);
-  if (loan == NULL)
-    {
-      loan = g_new0 (struct cyc_loan, 1);
-      g_strlcpy (loan->region, region, sizeof loan->region);
-      g_strlcpy (loan->instance, server->id, sizeof loan->instance);
-      g_hash_table_insert (hub->loans, key, loan);
-    }
-  else
-    g_free (key);
-  loan->born = server->born;
-  return loan;
-}
-
-/* A server of which one more slot may be lent: the one of which least is.  */
-static struct cym_server *
-lender (struct cyc_hub *hub, const char *service, cy_time_ns now)
-{
-  struct cym_server *server = NULL;
-  struct cym_server *best = NULL;
-  CK_LIST_FOREACH (server, cym_match_servers (hub->match, service), entry)
-  {
-    bool sound = server->own && server->listed && !server->draining
-                 && server->cold_until <= now && server->ejected_until <= now
-                 && server->speed < 2;
-    if (!sound || server->given + 1 >= server->slots)
-      continue;
-    if (best == NULL || server->given < best->given
-        || (server->given == best->given && server->speed < best->speed))
-      best = server;
-  }
-  return best;
-}
-
-/* Slots of SERVICE that REGION has on loan; drops what cannot be lent any
-   more.  */
-static uint32_t
-lent_to (struct cyc_hub *hub, const char *region, const char *service,
-         struct cyc_loan **largest, cy_time_ns now)
-{
-  struct cym_server *server = NULL;
-  uint32_t sum = 0;
-  *largest = NULL;
-  CK_LIST_FOREACH (server, cym_match_servers (hub->match, service), entry)
-  {
-    char *key = g_strconcat (region, "/", server->id, NULL);
-    struct cyc_loan *loan = g_hash_table_lookup (hub->loans, key);
-    g_free (key);
-    if (loan == NULL || loan->slots == 0)
-      continue;
-    if (!server->listed || server->draining || server->ejected_until > now)
-      {
-        server->given -= MIN (server->given, loan->slots);
-        loan->slots = 0;
-        continue;
-      }
-    sum += loan->slots;
-    if (*largest == NULL || loan->slots > (*largest)->slots)
-      *largest = loan;
-  }
-  return sum;
-}
-
-/* Brings what REGION has on loan of SERVICE to SLOTS.  */
-static void
-lend (struct cyc_hub *hub, const char *region, const char *service,
-      uint32_t slots, cy_time_ns now)
-{
-  struct cyc_loan *largest = NULL;
-  uint32_t lent = lent_to (hub, region, service, &largest, now);
-  while (lent < slots)
-    {
-      struct cym_server *server = lender (hub, service, now);
-      if (server == NULL)
-        return;
-      loan_get (hub, region, server)->slots++;
-      server->given++;
-      lent++;
-    }
-  while (lent > slots && largest != NULL)
-    {
-      struct cym_server *server
-          = cym_match_find (hub->match, largest->instance);
-      largest->slots--;
-      if (server != NULL && server->given > 0)
-        server->given--;
-      lent = lent_to (hub, region, service, &largest, now);
-    }
-}
-
 /* Sums over the regions that want slots of one service.  */
 struct sums
 {
@@ -406,7 +313,7 @@
       = step_towards (want->held, want->homed * fair + want->spill * part);
   uint32_t slots
       = want->held < LEAST_SLOTS ? 0 : (uint32_t)ceil (want->held - 0.2);
-  lend (hub, want->region, want->service, slots, now);
+  cym_loans_bring (hub->loans, want->region, want->service, slots, now);
 }
 
 void
@@ -439,7 +346,7 @@
 void
 cyc_lending_create (struct cyc_hub *hub)
 {
-  hub->loans = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  hub->loans = cym_loans_create (hub->match);
   hub->wants
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, want_free);
 }
@@ -447,6 +354,6 @@
 void
 cyc_lending_destroy (struct cyc_hub *hub)
 {
-  g_hash_table_destroy (hub->loans);
+  cym_loans_destroy (hub->loans);
   g_hash_table_destroy (hub->wants);
 }
--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -105,7 +105,7 @@
   peer->host = g_strdup (host);
   peer->known = cyc_now (hub);
   peer->backoff_ms = BACKOFF_MS;
-  peer->lent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  peer->lent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   peer->redial = cyn_timer_create (hub->options.loop, dial, peer);
   CK_LIST_INSERT_HEAD (&hub->peers, peer, entry);
   cyn_timer_start (peer->redial, 0);
--- a/tests/match/match_world.h
+++ b/tests/match/match_world.h
@@ -311,10 +311,4 @@
   cym_match_destroy (world.match);
 }
 
-static double
-share (unsigned part, unsigned whole)
-{
-  return whole == 0 ? 0 : (double)part / whole;
-}
-
 #endif /* MATCH_WORLD_H */
--- a/tests/match/test_match.c
+++ b/tests/match/test_match.c
@@ -2,6 +2,12 @@
 
 #include "match_world.h"
 
+static double
+share (unsigned part, unsigned whole)
+{
+  return whole == 0 ? 0 : (double)part / whole;
+}
+
 #define N(array) (sizeof (array) / sizeof ((array)[0]))
 
 /* ------------------------------------------------------------ rules */
@@ -302,7 +308,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     wanted += ((struct cym_home *)value)->refused;
   ck_assert_msg (wanted > 0.5, "wanted %.2f", wanted);
-  cym_match_lend (world.match, "i40", 4, world.now);
+  cym_match_lend (world.match, "i40", 1, 4, world.now);
   memset (world.tally, 0, sizeof world.tally);
   world_pass (&kind, 1, 5000);
   ck_assert_msg (share (world.tally[0].refused, world.tally[0].asked) < 0.1,
@@ -322,7 +328,7 @@
   world_start ();
   world_servers (1, 4, 0, 40);
   world_pass (&kind, 1, 2000);
-  cym_match_lend (world.match, "i40", 30, world.now);
+  cym_match_lend (world.match, "i40", 1, 30, world.now);
   struct cym_server *away = cym_match_find (world.match, "i40");
   for (int window = 0; window < 12; window++)
     {
@@ -347,7 +353,7 @@
       = { "r", "w", 100, 50, 50, 0, 400, 1000, 1, NULL };
   world_start ();
   world_servers (0, 4, 0, 40);
-  cym_match_lend (world.match, "i40", 30, world.now);
+  cym_match_lend (world.match, "i40", 1, 30, world.now);
   world_pass (&kind, 1, 1000);
   memset (world.tally, 0, sizeof world.tally);
   world_pass (&kind, 1, 5000);
--- a/tests/soak/hub_soak.sh
+++ b/tests/soak/hub_soak.sh
@@ -233,6 +233,10 @@
 cat "$cluster_dir"/backend*.record >"$cluster_dir/ran.all"
 build/tests/path/test_records "$cluster_dir/ran.all" "$cluster_dir"/load-{r,w}.record \
   || fail "records"
+if [ $failures -gt 0 ]; then
+  ps -o pid,stat,time,args -p "$(IFS=,; echo "${cluster_pid[*]}")" | cut -c1-100
+  for i in 1 2 3; do tail -n 3 "$cluster_dir/hub$i.out" | cut -c1-300; done
+fi
 say "seed $seed: $(grep -c . "$cluster_dir/ran.all") runs, declarations sent $number, newest acknowledged $acked, $failures failures"
 if [ $failures -gt 0 ] && [ -n "${SOAK_KEEP:-}" ]; then cp -r "$cluster_dir" "$SOAK_KEEP/$seed"; fi
 [ $failures -eq 0 ]
