A full disk is waited for, not died of

Proposals and appends are only taken when the disk has room for them, but there a full disk also refuses bytes that had been allocated, so the record of a vote or of an append that was promised room failed, and any failure of the log ends the process.

Change: what goes into the log or the vote waits for room, up to 10 s, in the disk's thread; a leader in that state steps down as for a disk that hangs, and placing goes on. A failed sync ends the process as before.

--- a/src/store/cyd_file.c
+++ b/src/store/cyd_file.c
@@ -79,6 +79,25 @@
   return CY_OK;
 }
 
+cy_result
+cyd_write_patiently (const struct cyd_files *files, int fd, const void *bytes,
+                     size_t length, int64_t offset)
+{
+  cy_result result = cyd_write_all (files, fd, bytes, length, offset);
+  if (result != CY_E_STORE_FULL)
+    return result;
+  cyu_log (G_LOG_LEVEL_WARNING,
+           "no room on the disk for %zu bytes, the log waits for it", length);
+  for (int i = 0; i < CYD_PATIENCE && result == CY_E_STORE_FULL; i++)
+    {
+      files->pause (files->context);
+      result = cyd_write_all (files, fd, bytes, length, offset);
+    }
+  if (result == CY_OK)
+    cyu_log (G_LOG_LEVEL_INFO, "the disk has room again");
+  return result;
+}
+
 cy_result
 cyd_sync (const struct cyd_files *files, int fd)
 {
--- a/src/store/cyd_file.h
+++ b/src/store/cyd_file.h
@@ -9,7 +9,8 @@
 #include "cy_result.h"
 #include "store/cyd_files.h"
 
-#define CYD_FILE_HEADER 16 /* bytes: magic, zero, XXH64 of the content */
+#define CYD_PATIENCE    200 /* pauses, of 50 ms: beyond what a stop may take */
+#define CYD_FILE_HEADER 16  /* bytes: magic, zero, XXH64 of the content */
 
 /* Reads and writes LENGTH bytes whatever a single call manages.  CY_E_IO,
    CY_E_STORE_FULL.  */
@@ -18,6 +19,12 @@
 cy_result cyd_write_all (const struct cyd_files *files, int fd,
                          const void *bytes, size_t length, int64_t offset);
 
+/* The same, but waits for room on a full disk: for what cannot be refused any
+   more.  CY_E_STORE_FULL when there is none after CYD_PATIENCE pauses.  */
+cy_result cyd_write_patiently (const struct cyd_files *files, int fd,
+                               const void *bytes, size_t length,
+                               int64_t offset);
+
 /* CY_E_STORE_SYNC when the disk did not take it: nothing written since the
    last sync may be trusted, so the process must end.  */
 cy_result cyd_sync (const struct cyd_files *files, int fd);
--- a/src/store/cyd_files.c
+++ b/src/store/cyd_files.c
@@ -10,6 +10,7 @@
 
 #define FILE_MODE   0600 /* the owner's alone */
 #define FOLDER_MODE 0700
+#define PAUSE_MS    50 /* ms; little beside a step-down for a hanging disk */
 
 static int
 system_open (void *context, const char *path, int flags)
@@ -127,14 +128,20 @@
   return (char **)g_ptr_array_free (names, FALSE);
 }
 
+static void
+system_pause (void *context)
+{
+  (void)context;
+  g_usleep (PAUSE_MS * 1000);
+}
+
 const struct cyd_files *
 cyd_system_files (void)
 {
   static const struct cyd_files files
-      = { system_open,     system_close,       system_size,
-          system_read,     system_write,       system_sync,
-          system_truncate, system_allocate,    system_rename,
-          system_unlink,   system_make_folder, system_sync_folder,
-          system_lock,     system_list,        NULL };
+      = { system_open,   system_close,  system_size,        system_read,
+          system_write,  system_sync,   system_truncate,    system_allocate,
+          system_rename, system_unlink, system_make_folder, system_sync_folder,
+          system_lock,   system_list,   system_pause,       NULL };
   return &files;
 }
--- a/src/store/cyd_files.h
+++ b/src/store/cyd_files.h
@@ -34,6 +34,9 @@
 
   /* Names in a folder, NULL-terminated, freed by g_strfreev.  */
   char **(*list) (void *context, const char *path);
+
+  /* Lets some time pass before a full disk is tried again.  */
+  void (*pause) (void *context);
   void *context;
 };
 
--- a/src/store/cyd_log.c
+++ b/src/store/cyd_log.c
@@ -150,8 +150,8 @@
   struct cyd_segment *active = active_segment (log);
   if (bytes->len == 0)
     return CY_OK;
-  cy_result result = cyd_write_all (log->options.files, active->fd,
-                                    bytes->data, bytes->len, active->end);
+  cy_result result = cyd_write_patiently (
+      log->options.files, active->fd, bytes->data, bytes->len, active->end);
   if (result == CY_OK)
     active->end += bytes->len;
   g_byte_array_set_size (bytes, 0);
--- a/src/store/cyd_vote.c
+++ b/src/store/cyd_vote.c
@@ -49,7 +49,8 @@
 {
   uint8_t copy[COPY_BYTES];
   encode (copy, vote->sequence, term, id);
-  return cyd_write_all (vote->files, vote->fd, copy, sizeof copy, offset);
+  return cyd_write_patiently (vote->files, vote->fd, copy, sizeof copy,
+                              offset);
 }
 
 cy_result
--- a/tests/store/fake_files.h
+++ b/tests/store/fake_files.h
@@ -34,6 +34,7 @@
   int64_t space;    /* bytes that may be allocated */
   int64_t left;     /* operations before the power cut */
   size_t write_max; /* bytes that one write takes */
+  int no_room;      /* pauses until writes find room again, below 0: never */
   bool sync_fails;
 };
 
@@ -166,6 +167,11 @@
   struct fake_disk *disk = context;
   struct fake_file *file = disk->fds[fd];
   length = MIN (length, disk->write_max);
+  if (disk->no_room != 0)
+    {
+      errno = ENOSPC;
+      return -1;
+    }
   if (!fake_works (disk) || !fake_grow (disk, file, offset + (int64_t)length))
     return -1;
   memcpy (file->data->data + offset, bytes, length);
@@ -287,16 +293,24 @@
   return (char **)g_ptr_array_free (names, FALSE);
 }
 
+static inline void
+fake_pause (void *context)
+{
+  struct fake_disk *disk = context;
+  if (disk->no_room > 0)
+    disk->no_room--;
+}
+
 static inline void
 fake_disk_init (struct fake_disk *disk)
 {
   memset (disk, 0, sizeof *disk);
-  disk->files
-      = (struct cyd_files){ fake_open,     fake_close,       fake_size,
-                            fake_read,     fake_write,       fake_sync,
-                            fake_truncate, fake_allocate,    fake_rename,
-                            fake_unlink,   fake_make_folder, fake_sync_folder,
-                            fake_lock,     fake_list,        disk };
+  disk->files = (struct cyd_files){
+    fake_open,   fake_close,  fake_size,        fake_read,
+    fake_write,  fake_sync,   fake_truncate,    fake_allocate,
+    fake_rename, fake_unlink, fake_make_folder, fake_sync_folder,
+    fake_lock,   fake_list,   fake_pause,       disk
+  };
   disk->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        fake_file_unref);
   disk->durable = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -488,6 +488,29 @@
 }
 END_TEST
 
+/* A disk that takes no more bytes for a while, allocated before or not: what
+   was promised room is written once there is some.  */
+START_TEST (test_full_for_a_while)
+{
+  ck_assert_int_eq (open_store (), CY_OK);
+  ck_assert_int_eq (append (1, 3, 1), CY_OK);
+  disk.no_room = 5;
+  ck_assert_int_eq (append (4, 6, 1), CY_OK);
+  ck_assert_int_eq (cyd_store_sync (store), CY_OK);
+  disk.no_room = 5;
+  ck_assert_int_eq (cyd_store_set_vote (store, 7, 2), CY_OK);
+  close_store ();
+  ck_assert_int_eq (open_store (), CY_OK);
+  expect_records (6);
+  ck_assert_uint_eq (recovered.term, 7);
+  ck_assert_uint_eq (recovered.vote, 2);
+  disk.no_room = -1;
+  ck_assert_int_eq (cyd_store_set_vote (store, 8, 2), CY_E_STORE_FULL);
+  disk.no_room = 0;
+  close_store ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -508,6 +531,7 @@
   tcase_add_test (tcase, test_short_writes);
   tcase_add_test (tcase, test_failed_sync);
   tcase_add_test (tcase, test_full_disk);
+  tcase_add_test (tcase, test_full_for_a_while);
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
