Silence ends no attempt of a kind not known yet, nor one during a planned stop

Ruled out: the stop itself (it waits for requests), the server (it was sound).

Change: the expected time of a route without an answer yet is said to be unknown; then half of the attempt's time passes before silence ends it, as on new connections of the tree layout. An entry VM that leaves ends no attempt for silence. The rule is one function now, cye_patience, with a table of cases.

--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -119,7 +119,9 @@
     cym_demand_away (ask, 1);
   cym_spill_note (match, ask, !server->own, now);
   ask->server = server;
-  ask->usual = (cy_time_ns)cym_estimate (server, ask, now);
+  ask->usual = ask->class_of->work_ns > 0
+                   ? (cy_time_ns)cym_estimate (server, ask, now)
+                   : 0;
   ask->rank_at = cym_warm_rank (server, ask->affinity);
   ask->warm = cym_is_warm (server, ask->affinity);
   ask->waited = now - ask->since;
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -143,7 +143,8 @@
 
   /* Set by the matcher.  */
   struct cym_server *server; /* CY_OK: where it goes */
-  cy_time_ns usual;          /* CY_OK: that its answer is expected to take */
+  cy_time_ns usual;          /* CY_OK: that its answer is expected to take, 0
+                                until one of its route has come */
   uint32_t retry_after_ms;   /* with a refusal, 0: not known */
   cy_time_ns waited;
   TAILQ_ENTRY (cym_ask) entry;
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -8,6 +8,7 @@
 
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
+#include "entry/cye_patience.h"
 
 #define CYE_ATTEMPTS_MAX 4 /* backend servers that one request tries */
 #define CYE_LAST_MS      2 /* ms left below which no attempt starts */
@@ -148,10 +149,10 @@
     return CYM_CANCELLED; /* the kept connection was at fault */
   if (result != CY_E_TIMEOUT)
     return CYM_BROKEN;
-  cy_time_ns patience = MAX (CYE_SILENT_MIN_MS * CY_NS_PER_MS,
-                             CYE_SILENT_TIMES * request->ticket.answer_ns);
   cy_time_ns took = cye_request_now (request) - cye_call_sent_at (call);
-  return took >= patience ? CYM_SILENT : CYM_CANCELLED;
+  return took >= cye_patience_least (request->ticket.answer_ns)
+             ? CYM_SILENT
+             : CYM_CANCELLED;
 }
 
 static void
@@ -344,37 +345,19 @@
     fail_or_retry (request, cye_call_result (call), false);
 }
 
-/* True when silence on the call's connection may be the connection's fault.
-   At a hub a new one is trusted: servers there may be cold or slow, and their
-   usual time is not known at first.  */
-static bool
-may_be_dead (const struct cye_request *request)
-{
-  const struct cye_call *call = request->call;
-  if (!cye_call_sent (call) || cye_call_head (call)->complete)
-    return false;
-  switch (request->shared->layout)
-    {
-    case CYE_TREE:
-      return true;
-    case CYE_HUB:
-      return cye_call_reused (call);
-    }
-  return false;
-}
-
-/* How long the attempt may be without a first byte.  On a new connection half
-   of the time that it has: long work is no silence, and another attempt still
-   fits.  */
+/* How long the attempt may be without a first byte.  */
 static cy_time_ns
 patience_of (const struct cye_request *request)
 {
   const struct cye_call *call = request->call;
-  cy_time_ns patience = MAX (CYE_SILENT_MIN_MS * CY_NS_PER_MS,
-                             CYE_SILENT_TIMES * request->ticket.answer_ns);
-  if (cye_call_reused (call))
-    return patience;
-  return MAX (patience, (request->deadline - cye_call_sent_at (call)) / 2);
+  struct cye_shared *shared = request->shared;
+  struct cye_attempt attempt
+      = { .layout = shared->layout,
+          .kept = cye_call_reused (call),
+          .leaving = ck_pr_load_int (&shared->leaving) != 0,
+          .usual = request->ticket.answer_ns,
+          .time = request->deadline - cye_call_sent_at (call) };
+  return cye_patience (&attempt);
 }
 
 void
@@ -382,7 +365,8 @@
 {
   struct cye_call *call = request->call;
   if (request->stage != CYE_CALLING || call == NULL || cye_call_ended (call)
-      || !request->idempotent || !may_be_dead (request))
+      || !request->idempotent || !cye_call_sent (call)
+      || cye_call_head (call)->complete)
     return;
   if (now - cye_call_sent_at (call) < patience_of (request)
       || !may_retry (request, false))
--- a/src/entry/cye_shared.h
+++ b/src/entry/cye_shared.h
@@ -18,10 +18,6 @@
 #include "entry/cye_split.h"
 
 #define CYE_TIMEOUT_MAX_MS 120000 /* ms, longest deadline of a request */
-#define CYE_SILENT_MIN_MS                                                     \
-  500                      /* ms without a first byte on a kept               \
-                              connection before it counts as silent */
-#define CYE_SILENT_TIMES 8 /* the same, of the usual time to answer */
 
 /* How the processes of the cluster stand to each other.  */
 enum cye_layout
