Time without any slot does not count for the pace of a queue

Logs kept: all fall into the first 10 ms in which a restarted entry VM has credits again. It had none for 2.2 s while some 60 requests waited, so the pace that it had measured was one request in seconds, and what arrived between the first two answers was refused as hopeless. Ruled out: the drain of backend servers, deadlines of callers.

Change: the queue is told when there is no slot at all, and that time counts neither for nor against its pace.

Figures: test_stall refuses without the change (610), passes with it.

--- a/src/core/cyw_queue.c
+++ b/src/core/cyw_queue.c
@@ -39,6 +39,7 @@
   uint64_t popped;
   cy_time_ns last;
   double slots_per_ns; /* what the slots at hand allow */
+  bool stalled;        /* there is no slot */
 };
 
 struct cyw_queue *
@@ -67,13 +68,13 @@
 
 /* ------------------------------------------------------------ pace */
 
-/* Lets time pass: it counts only while requests wait.  */
+/* Lets time pass: it counts only while requests wait and there are slots.  */
 static void
 advance (struct cyw_queue *queue, cy_time_ns now)
 {
   cy_time_ns passed = now - queue->last;
   queue->last = now;
-  if (queue->length == 0 || passed <= 0)
+  if (queue->length == 0 || queue->stalled || passed <= 0)
     return;
   double keep = exp (-(double)passed / (double)CYW_PACE_WINDOW_NS);
   queue->pops *= keep;
@@ -94,6 +95,13 @@
   queue->slots_per_ns = per_s / (double)CY_NS_PER_S;
 }
 
+void
+cyw_queue_set_stalled (struct cyw_queue *queue, bool stalled, cy_time_ns now)
+{
+  advance (queue, now);
+  queue->stalled = stalled;
+}
+
 cy_time_ns
 cyw_queue_estimate (const struct cyw_queue *queue, const char *workspace,
                     double weight)
--- a/src/core/cyw_queue.h
+++ b/src/core/cyw_queue.h
@@ -48,6 +48,11 @@
    takes the better of this and the measured one.  */
 void cyw_queue_set_pace (struct cyw_queue *queue, double per_s);
 
+/* From NOW on there is no slot at all (STALLED), or there is one again.  Time
+   without any says nothing of the pace to come.  */
+void cyw_queue_set_stalled (struct cyw_queue *queue, bool stalled,
+                            cy_time_ns now);
+
 /* Takes out the request that is next in fair order, NULL if none waits.  */
 struct cyw_item *cyw_queue_pop (struct cyw_queue *queue, cy_time_ns now);
 
--- a/src/entry/cye_slots.c
+++ b/src/entry/cye_slots.c
@@ -97,11 +97,31 @@
   ticket->answer_ns = cyb_pool_answer_ns (service->pool);
 }
 
+/* Tells the queue what the credits held allow: a pace, or nothing.  */
+static void
+note_credits (struct cye_slots *slots, struct service *service)
+{
+  const struct cyb_server *server = NULL;
+  cy_time_ns answer = cyb_pool_answer_ns (service->pool);
+  uint32_t held = 0;
+  CK_LIST_FOREACH (server, cyb_pool_servers (service->pool), entry)
+  {
+    held += server->credits;
+  }
+  cyw_queue_set_stalled (service->queue, held == 0,
+                         cy_clock_now (slots->options.clock));
+  if (held > 0 && answer > 0)
+    cyw_queue_set_pace (service->queue,
+                        (double)held * (double)CY_NS_PER_S / (double)answer);
+}
+
 /* Gives free slots to the requests that wait, in fair order.  */
 static void
 dispatch (struct cye_slots *slots, struct service *service)
 {
   struct cyb_server *server = NULL;
+  if (cyw_queue_length (service->queue) > 0)
+    note_credits (slots, service);
   while (cyw_queue_length (service->queue) > 0
          && cyb_pool_choose (service->pool, NULL, &server) == CY_OK)
     {
@@ -117,27 +137,11 @@
     }
 }
 
-/* Requests a second that the credits held allow.  */
-static double
-pace_of (struct service *service)
-{
-  const struct cyb_server *server = NULL;
-  cy_time_ns answer = cyb_pool_answer_ns (service->pool);
-  uint32_t held = 0;
-  CK_LIST_FOREACH (server, cyb_pool_servers (service->pool), entry)
-  {
-    held += server->credits;
-  }
-  return answer == 0 ? 0 : (double)held * (double)CY_NS_PER_S / (double)answer;
-}
-
 static cy_result
 wait_for_slot (struct cye_slots *slots, struct service *service,
                struct cye_ticket *ticket)
 {
-  double pace = pace_of (service);
-  if (pace > 0)
-    cyw_queue_set_pace (service->queue, pace);
+  note_credits (slots, service);
   cy_result result
       = cyw_queue_push (service->queue, &ticket->item, ticket->workspace,
                         ticket->weight, cy_clock_now (slots->options.clock),
--- a/tests/entry/test_pool.c
+++ b/tests/entry/test_pool.c
@@ -267,6 +267,39 @@
 }
 END_TEST
 
+/* No slot for 2.2 s while 60 wait: what arrives as the first ones come back is
+   not measured by that time, and waits.  */
+START_TEST (test_stall)
+{
+  struct cyw_queue *queue = cyw_queue_create ();
+  struct cyw_item items[200];
+  struct cyw_item more;
+  cy_time_ns now = CY_NS_PER_S;
+  int pushed = 0;
+  for (; pushed < 100; pushed++)
+    cyw_queue_push (queue, &items[pushed], "x", 1, now, 100 * CY_NS_PER_S, 0);
+  for (int i = 0; i < 40; i++)
+    {
+      now += 10 * CY_NS_PER_MS;
+      ck_assert_ptr_nonnull (cyw_queue_pop (queue, now));
+    }
+  cyw_queue_set_stalled (queue, true, now);
+  for (int i = 0; i < 22; i++)
+    {
+      now += 100 * CY_NS_PER_MS;
+      cyw_queue_set_stalled (queue, true, now);
+    }
+  cyw_queue_set_stalled (queue, false, now);
+  ck_assert_ptr_nonnull (cyw_queue_pop (queue, now));
+  ck_assert_int_eq (
+      cyw_queue_push (queue, &more, "x", 1, now, now + 5 * CY_NS_PER_S, 0),
+      CY_OK);
+  while (cyw_queue_pop (queue, now) != NULL)
+    continue;
+  cyw_queue_destroy (queue);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -282,6 +315,7 @@
   tcase_add_loop_test (tcase, test_fair, 0, G_N_ELEMENTS (shares));
   tcase_add_test (tcase, test_flood);
   tcase_add_test (tcase, test_early_refusal);
+  tcase_add_test (tcase, test_stall);
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
