Slots for requests with a home elsewhere are lent at once

Loans to another region grew by a quarter a beat from one slot: 2.5 s to 9 slots, 5 s to 90. That holds for requests that may run at home as well, which must not shift at once; those that only the lender may serve shift from nowhere. The same ramp came again after each change of placer and after a loss of power.

Change: what a region is lent moves by cym_want_move: the part for requests with a home at once, the part for others in steps as before.

Figures: test_ramps fails 2 of 4 with steps for both (4 slots instead of 90 a second after the first want).

--- a/src/core/cym_loans.c
+++ b/src/core/cym_loans.c
@@ -1,8 +1,33 @@
 #include "core/cym_loans.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
+#define STEP_UP   0.25 /* of a loan, or a slot, by which it grows in a beat */
+#define STEP_DOWN 0.12 /* of a loan, or half a slot, by which it falls */
+
+/* ------------------------------------------------------------ steps */
+
+static double
+step_towards (double held, double wanted)
+{
+  double up = fmax (held * STEP_UP, 1);
+  double down = fmax (held * STEP_DOWN, 0.5);
+  return fmin (fmax (wanted, held - down), held + up);
+}
+
+uint32_t
+cym_want_move (struct cym_want *want, double homed, double spill)
+{
+  want->kept = fmax (homed, step_towards (want->kept, homed));
+  want->held = step_towards (want->held, spill);
+  double lent = want->kept + want->held;
+  return lent < CYM_LOAN_LEAST ? 0 : (uint32_t)ceil (lent - 0.2);
+}
+
+/* ------------------------------------------------------------ loans */
+
 struct cym_loans
 {
   struct cym_match *match;
--- a/src/core/cym_loans.h
+++ b/src/core/cym_loans.h
@@ -7,6 +7,8 @@
 
 #include "core/cym_match.h"
 
+#define CYM_LOAN_LEAST 0.3 /* wanted slots below which nothing is lent */
+
 struct cym_loan
 {
   char region[CYM_NAME_MAX];
@@ -16,6 +18,19 @@
   uint32_t slots;
 };
 
+/* What a region is lent of one service, in slots, as it moves from beat to
+   beat.  */
+struct cym_want
+{
+  double kept; /* for requests that only the lender may serve */
+  double held; /* for those that find no room at home */
+};
+
+/* Moves WANT one beat towards HOMED and SPILL slots; returns the sum in whole
+   slots.  Requests that only the lender may serve shift from nowhere, so they
+   get theirs at once; the others move in steps.  */
+uint32_t cym_want_move (struct cym_want *want, double homed, double spill);
+
 struct cym_loans;
 
 /* MATCH belongs to the caller and lives longer.  */
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -76,7 +76,7 @@
   char service[CYM_NAME_MAX];
   double homed; /* for requests that only this region may serve */
   double spill; /* for those that find no room there */
-  double held;  /* what it is lent, moved in steps */
+  struct cym_want lent;
   cy_time_ns at;
 };
 
--- a/src/hub/cyc_lending.c
+++ b/src/hub/cyc_lending.c
@@ -12,10 +12,7 @@
 
 #include "hub/cyc_internal.h"
 
-#define SPARE_KEPT  0.08 /* of the slots that are lent to nobody */
-#define STEP_UP     0.25 /* of a loan, or a slot, by which it grows in a beat */
-#define STEP_DOWN   0.12 /* of a loan, or half a slot, by which it falls */
-#define LEAST_SLOTS 0.3  /* wanted slots below which nothing is lent */
+#define SPARE_KEPT 0.08 /* of the slots that are lent to nobody */
 
 /* ------------------------------------------------------------ tokens */
 
@@ -61,7 +58,7 @@
 add_home_need (const char *region, double slots, void *context)
 {
   GPtrArray *homes = context;
-  if (slots < LEAST_SLOTS)
+  if (slots < CYM_LOAN_LEAST)
     return;
   Cy__HomeNeed *need = g_new (Cy__HomeNeed, 1);
   cy__home_need__init (need);
@@ -87,7 +84,7 @@
   cym_match_demand (hub->match, service, now, &demand);
   cym_match_each_home (hub->match, service, now, add_home_need, homes);
   double slots = fmax (demand.local - demand.own * (1 - SPARE_KEPT), 0);
-  if (slots < LEAST_SLOTS && homes->len == 0)
+  if (slots < CYM_LOAN_LEAST && homes->len == 0)
     {
       g_ptr_array_unref (homes);
       return;
@@ -290,15 +287,6 @@
   return sums;
 }
 
-/* Moves a loan towards what it should be, in steps.  */
-static double
-step_towards (double held, double wanted)
-{
-  double up = fmax (held * STEP_UP, 1);
-  double down = fmax (held * STEP_DOWN, 0.5);
-  return fmin (fmax (wanted, held - down), held + up);
-}
-
 static void
 serve_want (struct cyc_hub *hub, struct cyc_want *want, cy_time_ns now)
 {
@@ -309,10 +297,8 @@
   double fair = all > demand.own ? demand.own / fmax (all, 1e-9) : 1;
   double spare = fmax (demand.own * (1 - SPARE_KEPT) - all, 0);
   double part = sums.spill > spare ? spare / sums.spill : 1;
-  want->held
-      = step_towards (want->held, want->homed * fair + want->spill * part);
   uint32_t slots
-      = want->held < LEAST_SLOTS ? 0 : (uint32_t)ceil (want->held - 0.2);
+      = cym_want_move (&want->lent, want->homed * fair, want->spill * part);
   cym_loans_bring (hub->loans, want->region, want->service, slots, now);
 }
 
--- a/tests/match/test_loans.c
+++ b/tests/match/test_loans.c
@@ -182,6 +182,36 @@
 }
 END_TEST
 
+/* What a region wants from its first beat on, and the slots that it has on
+   loan after the fourth, a second later.  */
+static const struct
+{
+  const char *pattern;
+  double homed;
+  double spill;
+  uint32_t least;
+  uint32_t most;
+} ramps[] = {
+  { "requests that only the lender may serve", 90, 0, 90, 90 },
+  { "requests that find no room at home", 0, 90, 4, 5 },
+  { "both", 90, 90, 94, 95 },
+  { "next to nothing", 0.1, 0.1, 0, 0 },
+};
+
+START_TEST (test_ramps)
+{
+  struct cym_want want = { 0 };
+  uint32_t slots = 0;
+  for (int beat = 0; beat < 4; beat++)
+    slots = cym_want_move (&want, ramps[_i].homed, ramps[_i].spill);
+  ck_assert_msg (slots >= ramps[_i].least && slots <= ramps[_i].most, "%s: %u",
+                 ramps[_i].pattern, slots);
+  for (int beat = 0; beat < 60; beat++)
+    slots = cym_want_move (&want, 0, 0);
+  ck_assert_uint_eq (slots, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -191,6 +221,7 @@
   tcase_add_test (tcase, test_starts_anew);
   tcase_add_test (tcase, test_counts);
   tcase_add_test (tcase, test_borrowed);
+  tcase_add_loop_test (tcase, test_ramps, 0, G_N_ELEMENTS (ramps));
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
