A placer that starts spills at once, loans double in a beat

Its own servers held 90 slots; what found no room might move to another region only in steps of 0.05 a second from a share of 0, though no share was left that could change, and the lender added a quarter to a loan in each beat. Ruled out: requests with a home (mended before), tokens, the leader's election (placing goes on without one).

Change: after 2 s without a request, or at its start, a placer has no share: for a second requests go where there is room and the share is their mean, then it moves in steps as before.

--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -73,6 +73,7 @@
   double slice_placed; /* requests since SPILL_AT */
   double slice_spilled;
   cy_time_ns spill_at;
+  cy_time_ns spill_begun; /* first request after none for long */
 };
 
 /* ---- cym_choose.c */
@@ -131,7 +132,8 @@
 
 /* True when ASK may be placed in another region without moving more of the
    region's requests there at once than may shift.  */
-bool cym_spill_may (const struct cym_match *match, const struct cym_ask *ask);
+bool cym_spill_may (const struct cym_match *match, const struct cym_ask *ask,
+                    cy_time_ns now);
 
 /* ASK was placed, AWAY or not.  */
 void cym_spill_note (struct cym_match *match, const struct cym_ask *ask,
--- a/src/core/cym_loans.c
+++ b/src/core/cym_loans.c
@@ -4,7 +4,7 @@
 #include <math.h>
 #include <string.h>
 
-#define STEP_UP   0.25 /* of a loan, or a slot, by which it grows in a beat */
+#define STEP_UP   1.0  /* of a loan, or a slot, by which it grows in a beat */
 #define STEP_DOWN 0.12 /* of a loan, or half a slot, by which it falls */
 
 /* ------------------------------------------------------------ steps */
--- a/src/core/cym_spill.c
+++ b/src/core/cym_spill.c
@@ -10,6 +10,10 @@
 #define SPILL_S     1.0 /* s over which the share that runs elsewhere is taken */
 #define SPILL_STEP  0.05 /* by which that share may grow in that time */
 #define SPILL_BURST 4.0  /* requests that may move at once */
+#define SPILL_IDLE_S                                                          \
+  2.0 /* s without a request after which no share is known; the span over     \
+         which a shift is judged */
+#define SPILL_FREE_MS 1000 /* ms from then on in which the share forms */
 
 /* ------------------------------------------------------------ demand */
 
@@ -85,10 +89,40 @@
 /* ------------------------------------------------------------ spill */
 
 bool
-cym_spill_may (const struct cym_match *match, const struct cym_ask *ask)
+cym_spill_may (const struct cym_match *match, const struct cym_ask *ask,
+               cy_time_ns now)
 {
-  /* Without a server in the own region nothing shifts: it all has to go.  */
-  return ask->away || !ask->at->stays || match->spill_tokens >= 1;
+  /* Without a server in the own region nothing shifts: it all has to go.  Nor
+     does anything while there is no share yet that could change.  */
+  return ask->away || !ask->at->stays || match->spill_tokens >= 1
+         || now - match->spill_begun < SPILL_FREE_MS * CY_NS_PER_MS;
+}
+
+/* Starts anew: no share is known.  */
+static void
+spill_begin (struct cym_match *match, cy_time_ns now)
+{
+  match->spill_begun = now;
+  match->spill_at = now;
+  match->spilled = 0;
+  match->slice_placed = 0;
+  match->slice_spilled = 0;
+}
+
+/* Takes the slice that ends NOW, after PASSED s, into the share: into the mean
+   of all while it forms, into a moving average from then on.  */
+static void
+end_slice (struct cym_match *match, double passed, cy_time_ns now)
+{
+  double all = (double)(now - match->spill_begun) / (double)CY_NS_PER_S;
+  double kept = all * 1000 < SPILL_FREE_MS ? 1 - passed / all
+                                           : exp (-passed / SPILL_S);
+  if (match->slice_placed > 0)
+    move_average (&match->spilled, match->slice_spilled / match->slice_placed,
+                  kept);
+  match->slice_placed = 0;
+  match->slice_spilled = 0;
+  match->spill_at = now;
 }
 
 void
@@ -98,20 +132,13 @@
   if (ask->away)
     return;
   double passed = (double)(now - match->spill_at) / (double)CY_NS_PER_S;
-  if (passed >= SPILL_S / 20)
-    {
-      /* Shares are of the requests in each twentieth.  */
-      double kept = exp (-passed / SPILL_S);
-      if (match->slice_placed > 0)
-        move_average (&match->spilled,
-                      match->slice_spilled / match->slice_placed, kept);
-      match->slice_placed = 0;
-      match->slice_spilled = 0;
-      match->spill_at = now;
-    }
+  if (passed >= SPILL_IDLE_S)
+    spill_begin (match, now);
+  else if (passed >= SPILL_S / 20)
+    end_slice (match, passed, now);
   match->slice_placed += 1;
   match->slice_spilled += away;
   match->spill_tokens
       = fmin (match->spill_tokens + match->spilled + SPILL_STEP, SPILL_BURST);
-  match->spill_tokens -= away;
+  match->spill_tokens = fmax (match->spill_tokens - away, 0);
 }
--- a/tests/match/test_match.c
+++ b/tests/match/test_match.c
@@ -346,6 +346,30 @@
 }
 END_TEST
 
+/* A placer that starts, or takes over after nothing ran for a while, has no
+   share that could change: what finds no room at home goes elsewhere at once,
+   nine of ten requests are served in the first two seconds.  */
+START_TEST (test_spill_at_start)
+{
+  static const struct kind kind
+      = { "r", "w", 120, 100, 100, 0, 400, 1000, 1, NULL };
+  world_start ();
+  world_servers (1, 4, 0, 40);
+  cym_match_lend (world.match, "i40", 1, 30, world.now);
+  for (int start = 0; start < 2; start++)
+    {
+      memset (world.tally, 0, sizeof world.tally);
+      world_pass (&kind, 1, 2000);
+      ck_assert_msg (share (world.tally[0].refused, world.tally[0].asked)
+                         < 0.1,
+                     "start %d: %u of %u refused", start,
+                     world.tally[0].refused, world.tally[0].asked);
+      world_pass (&kind, 0, 3000);
+    }
+  world_stop ();
+}
+END_TEST
+
 /* A region whose own servers are gone: lent slots serve it within a second. */
 START_TEST (test_region_without_servers)
 {
@@ -389,6 +413,7 @@
   tcase_set_timeout (regions, 60);
   tcase_add_test (regions, test_homes);
   tcase_add_test (regions, test_spill_steps);
+  tcase_add_test (regions, test_spill_at_start);
   tcase_add_test (regions, test_region_without_servers);
   suite_add_tcase (suite, regions);
   return cy_test_run (suite);
