A leader vouches for its version only once it is ready

The question came within 32 ms of the election (leader at 41.273, processes stopped at 41.305): a round was confirmed already, the record that ends the former term was not committed, and the status of that moment said an age of the state together with the version before the last acknowledged one. Ruled out: a lost record (control VM 4 held 15 of 15), entry VMs (what they are told was bound to the ready leader before).

Change: the status says age -1 until the leader is ready.

--- a/src/control/cyx_calls.c
+++ b/src/control/cyx_calls.c
@@ -211,7 +211,9 @@
   status->term = cyx_replica_term (replica);
   status->committed = cyx_replica_committed (replica);
   status->version = cys_state_version (cyx_control_state (call->control));
-  status->age_ms = age < 0 ? -1 : age / CY_NS_PER_MS;
+  /* Until its first record is committed a leader may lack what the former one
+     acknowledged, so it does not vouch for the version.  */
+  status->age_ms = age < 0 || !status->ready ? -1 : age / CY_NS_PER_MS;
   status->member_count = members == NULL ? 0 : members->n_members;
   status->members
       = g_new0 (struct cyx_member_status, status->member_count + 1);
