--- a/tests/proofs/operator_cut_answer.sh
+++ b/tests/proofs/operator_cut_answer.sh
@@ -79,6 +79,8 @@
 same_everywhere "after a snapshot"
 restart_all
 same_everywhere "after a restart from the snapshot"
+# Until its log is read back and synced a leader may say "try again".
+cluster_wait_until 15 operator_has_leader
 other=$(operator_call "$(operator_leader)" POST "$submit" "$(operator_document 6)")
 grep -q '"code": 404' <<<"$other" || operator_fail "reused id: $other"
 lines=$(cluster_ctl --json audit | grep -c '"request_id": "cut-1"')
