Benches build the load driver that make capacity starts

Cause: make capacity ended with "build/bench/load_lookup: No such file or directory": the driver is no bench and was built by no target on a fresh machine. Ruled out: the measurement itself (it runs up to there).

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 TEST_BIN := $(TEST_SRC:%.c=$(BUILD)/%)
 BENCH_SRC := $(wildcard bench/bench_*.c bench/*/bench_*.c)
 BENCH_BIN := $(BENCH_SRC:%.c=$(BUILD)/%)
+LOAD_BIN := $(BUILD)/bench/load_lookup # drives a measurement, has no bounds
 EXAMPLE_SRC := $(wildcard examples/*.c)
 EXAMPLE_BIN := $(EXAMPLE_SRC:%.c=$(BUILD)/%)
 
@@ -101,7 +102,7 @@
 
 tests: $(TEST_BIN)
 examples: $(EXAMPLE_BIN)
-benches: $(BENCH_BIN)
+benches: $(BENCH_BIN) $(LOAD_BIN)
 
 demo: all       ## Runs the whole path on loopback and prints what it measured.
 	@scripts/demo.sh
@@ -119,7 +120,7 @@
 	@scripts/bench.sh $(BENCH_BIN)
 
 capacity: all   ## Measures the slopes of docs/CAPACITY.md and checks the budget.
-	@$(MAKE) --no-print-directory $(BENCH_BIN)
+	@$(MAKE) --no-print-directory $(BENCH_BIN) $(LOAD_BIN)
 	@scripts/capacity.sh
 
 install: all    ## Installs programs, library and pages: DESTDIR=, PREFIX=.
