The build asks git for nothing

Each make call, a build of the deploy file too, started git twice to list the sources that format and lint read, and hid its errors. git is not among the packages of deploy/system.toml.

Cause: FORMAT_SRC was expanded when make read the file (:=), whatever the target.

Evidence: strace -f -e trace=execve of the deploy file's build showed two runs of /usr/bin/git before, none after. The list of make -n format-check is the same (9,722 bytes both times).

Change: the two variables are expanded by the targets that use them, one git call lists tracked and new files, and its errors are shown.

--- a/Makefile
+++ b/Makefile
@@ -43,8 +43,9 @@
 EXAMPLE_SRC := $(wildcard examples/*.c)
 EXAMPLE_BIN := $(EXAMPLE_SRC:%.c=$(BUILD)/%)
 
-FORMAT_SRC := $(shell git ls-files '*.c' '*.h' 2>/dev/null | grep -v '\.pb-c\.' ; git ls-files -o --exclude-standard '*.c' '*.h' 2>/dev/null | grep -v '\.pb-c\.')
-LINT_SRC   := $(filter %.c,$(FORMAT_SRC))
+# Expanded by the targets that use them: a build needs no git.
+FORMAT_SRC = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v '\.pb-c\.')
+LINT_SRC   = $(filter %.c,$(FORMAT_SRC))
 
 .PHONY: all deps need-deps demo check proofs bench capacity lint format \
         format-check proto clean help install tests examples \
