The build's archiver loads no plugin that happens to be installed

Where LLVM's linker plugin is installed, the build loaded it and libLLVM-14, libxml2, libicu72, libz3, libedit and libbsd, none of which deploy/system.toml brings.

Ruled out: the linker, which gcc starts with its own plugin.

Change: archives are made with gcc-ar (package gcc), which names the compiler's plugin.

Evidence: the trace of the deploy file's build had eight files of seven unlisted packages from that folder and its libraries before, none after.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 
 CC       ?= gcc
 BUILD    := build
+# The compiler's ar loads the compiler's plugin; plain ar loads every plugin
+# that the machine has.
+AR       := gcc-ar
 PACKAGES := glib-2.0 jansson libmicrohttpd libcurl libprotobuf-c ck libxxhash zlib
 DEBIAN   := build-essential pkg-config libck-dev libprotobuf-c-dev \
             libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev \
@@ -79,11 +82,11 @@
 
 $(BUILD)/libcy.a: $(LIB_OBJ)
 	@mkdir -p $(@D)
-	@rm -f $@ && ar rcs $@ $^
+	@rm -f $@ && $(AR) rcs $@ $^
 
 $(BUILD)/libcydeclare.a: $(DECL_OBJ)
 	@mkdir -p $(@D)
-	@rm -f $@ && ar rcs $@ $^
+	@rm -f $@ && $(AR) rcs $@ $^
 
 define PROGRAM_RULE
 $(BUILD)/bin/$(call program,$(1)): $(BUILD)/src/$(1)/main.o $(BUILD)/libcy.a
