--- a/Makefile
+++ b/Makefile
@@ -9,21 +9,25 @@
 DEBIAN   := build-essential pkg-config libck-dev libprotobuf-c-dev \
             libmicrohttpd-dev libcurl4-openssl-dev libjansson-dev \
             libglib2.0-dev check libsubunit-dev libxxhash-dev zlib1g-dev clang-format \
-            clang-tidy cppcheck curl
+            clang-tidy cppcheck curl strace
 SANITIZE ?=
 
 # pkg-config is asked once a run, and only when it is there: `make deps`
-# installs it on a fresh machine.
+# installs it on a fresh machine.  What is missing is reported by the target
+# `libraries`.
 PKG      := $(shell command -v pkg-config 2>/dev/null)
-PKG_INC  := $(if $(PKG),$(shell $(PKG) --cflags $(PACKAGES) check 2>/dev/null))
+PKG_INC  := $(if $(PKG),$(shell $(PKG) --cflags $(PACKAGES) 2>/dev/null))
 PKG_LIB  := $(if $(PKG),$(shell $(PKG) --libs $(PACKAGES) 2>/dev/null))
-CHK_LIB  := $(if $(PKG),$(shell $(PKG) --libs check 2>/dev/null))
+# Only tests use the test library, so pkg-config is asked for it on first use,
+# once a run: a build of the programs works without it.
+CHK_INC   = $(eval CHK_INC := $(shell $(PKG) --cflags check))$(CHK_INC)
+CHK_LIB   = $(eval CHK_LIB := $(shell $(PKG) --libs check))$(CHK_LIB)
 
 CFLAGS   ?= -O2 -g
 override CFLAGS += -std=gnu11 -Wall -Wextra -Wstrict-prototypes \
             -Wmissing-prototypes -Wshadow -Werror -fno-omit-frame-pointer \
             -pthread $(SANITIZE)
-CPPFLAGS := -D_GNU_SOURCE -Isrc -I. -Iinclude -I$(BUILD)/gen -Iproto -Itests $(PKG_INC)
+CPPFLAGS := -D_GNU_SOURCE -Isrc -I. -Iinclude -I$(BUILD)/gen -Iproto $(PKG_INC)
 LDLIBS   := $(PKG_LIB) -pthread -lm
 LDFLAGS  := $(SANITIZE)
 
@@ -50,8 +54,8 @@
 FORMAT_SRC = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v '\.pb-c\.')
 LINT_SRC   = $(filter %.c,$(FORMAT_SRC))
 
-.PHONY: all deps need-deps demo check proofs bench capacity lint format \
-        format-check proto clean help install tests examples \
+.PHONY: all deps need-deps libraries demo check proofs bench capacity lint \
+        packages format format-check proto clean help install tests examples \
         benches
 .SECONDARY:
 
@@ -70,15 +74,20 @@
 	scripts/deps.sh $(DEBIAN)
 
 need-deps:
-	@if [ -z "$(PKG_LIB)" ] || [ -z "$(CHK_LIB)" ]; then \
-	  scripts/deps.sh $(DEBIAN); fi
+	@pkg-config --exists $(PACKAGES) check || scripts/deps.sh $(DEBIAN)
 
-$(BUILD)/%.o: %.c
+# Names the libraries that a build lacks, before a compiler misses a header.
+libraries:
+	@pkg-config --print-errors --exists $(PACKAGES)
+
+$(BUILD)/%.o: %.c | libraries
 	@mkdir -p $(@D)
 	@echo "CC $<"
-	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+	@$(CC) $(CPPFLAGS) $(TEST_INC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/proto/%.o: CFLAGS += -Wno-shadow
+$(BUILD)/tests/%.o: TEST_INC = -Itests $(CHK_INC)
+$(BUILD)/bench/%.o: TEST_INC = -Itests
 
 $(BUILD)/libcy.a: $(LIB_OBJ)
 	@mkdir -p $(@D)
@@ -133,6 +142,9 @@
 lint:           ## Runs cppcheck and clang-tidy.
 	@scripts/lint.sh $(LINT_SRC)
 
+packages:       ## Fails when the deploy file's build uses an unlisted package.
+	@tests/packages/check.sh
+
 format:         ## Formats every source file.
 	@clang-format -i $(FORMAT_SRC)
 
