One window for the budget of repeats, so that it holds over the regions

Cause: each region's placer counts its own requests and repeats and may take the best of three windows (the span, half a window and a window before). All servers of the service shed 55 % of the requests from 13.0 s to 21.5 s, so every region spent all it had.

Ruled out: the fixed part (split by regions already), a change of placer (the three counters run through), delays between a placer and the servers (one counter for the same load keeps its bound).

Change: every counter takes one and the same window, half a window before the start of the span to half a window after it. A sum over one window is additive, so it holds however requests are split over placers.

Test: test_repeats, three regions with waves in turn (three cases); it failed before with 662 repeats where 654 are allowed, and 1,243 of 1,226.

--- a/src/core/cym_repeats.c
+++ b/src/core/cym_repeats.c
@@ -39,19 +39,14 @@
     sums[i + 1] = sums[i] + counts[(repeats->slice - i) % CYM_REPEATS_KEPT];
 }
 
-/* Requests that the span of a window which began in the COUNTth newest slice
-   is held against, if none come any more.  */
+/* Requests of the window around the start of the span that began in the
+   COUNTth newest slice: half a window before it and half a window after, as
+   far as they have come in.  */
 static uint32_t
 asked_around (const uint32_t *sums, int count)
 {
-  const int whole = CYM_REPEATS_SLICES;
-  const int half = whole / 2;
-  uint32_t most = sums[count - 1];
-  uint32_t half_before
-      = sums[count - 1 + half] - sums[count > half ? count - half : 0];
-  uint32_t before = sums[count - 1 + whole] - sums[count];
-  most = MAX (most, half_before);
-  return MAX (most, before);
+  const int half = CYM_REPEATS_SLICES / 2;
+  return sums[count - 1 + half] - sums[count > half ? count - half : 0];
 }
 
 bool
--- a/src/core/cym_repeats.h
+++ b/src/core/cym_repeats.h
@@ -1,9 +1,14 @@
 /* Budget of repeats: requests that are sent to a second backend server, as a
-   share of the requests of the service in a sliding window and a fixed part
-   besides.  It holds for every span of a window's length, wherever it begins,
-   against the requests of that span, the one before it or the one half a
-   window before it: when a repeat is allowed nobody knows whether requests
-   will go on.  Pure, one thread at a time.  */
+   share of the requests of the service in a window and a fixed part besides.
+   It holds for every span of a window's length, wherever it begins, against
+   the requests of the window around the span's start: when a repeat is allowed
+   nobody knows whether requests will go on.
+
+   Each placer counts what it places.  All take the same window, so the budget
+   holds for their sum however the requests are split between them and whenever
+   they move; with the best of several windows each, regions whose loads rise
+   and fall in turn would sum to more than the fleet's best window.
+   Pure, one thread at a time.  */
 
 #ifndef CYM_REPEATS_H
 #define CYM_REPEATS_H
@@ -13,8 +18,8 @@
 
 #include "core/cy_clock.h"
 
-#define CYM_REPEATS_SLICES 20                           /* of the window */
-#define CYM_REPEATS_KEPT   (2 * CYM_REPEATS_SLICES + 1) /* slices */
+#define CYM_REPEATS_SLICES 20                               /* of the window */
+#define CYM_REPEATS_KEPT   (3 * CYM_REPEATS_SLICES / 2 + 1) /* slices */
 
 /* How many repeats are allowed.  */
 struct cym_repeat_bounds
--- a/tests/match/test_repeats.c
+++ b/tests/match/test_repeats.c
@@ -25,14 +25,18 @@
   unsigned pause;   /* steps between two times that repeats are asked for */
   int64_t shift_ms; /* of the first step against the slices */
   unsigned moves;   /* step at which another counter follows, 0: none */
+  unsigned regions; /* each with a counter, their waves in turn */
 } loads[] = {
-  { "steady", 10, 10, 50, 1, 0, 0 },
-  { "steady, asked for every 9.2 s", 10, 10, 50, 92, 950, 0 },
-  { "nothing but repeats, every 9.2 s", 0, 0, 50, 92, 950, 0 },
-  { "waves", 0, 40, 60, 1, 330, 0 },
-  { "waves, asked for every 9.6 s", 0, 40, 60, 96, 950, 0 },
-  { "the placer moves", 10, 10, 50, 1, 0, 300 },
-  { "the placer moves, nothing but repeats", 0, 0, 50, 1, 0, 300 },
+  { "steady", 10, 10, 50, 1, 0, 0, 1 },
+  { "steady, asked for every 9.2 s", 10, 10, 50, 92, 950, 0, 1 },
+  { "nothing but repeats, every 9.2 s", 0, 0, 50, 92, 950, 0, 1 },
+  { "waves", 0, 40, 60, 1, 330, 0, 1 },
+  { "waves, asked for every 9.6 s", 0, 40, 60, 96, 950, 0, 1 },
+  { "the placer moves", 10, 10, 50, 1, 0, 300, 1 },
+  { "the placer moves, nothing but repeats", 0, 0, 50, 1, 0, 300, 1 },
+  { "three regions, waves in turn", 5, 15, 120, 1, 330, 0, 3 },
+  { "three regions, short waves in turn", 0, 40, 60, 1, 330, 0, 3 },
+  { "three regions, the placers move", 0, 40, 60, 1, 330, 300, 3 },
 };
 
 static unsigned
@@ -55,25 +59,33 @@
   return MAX (asked, sum_from (requests, from - WINDOW / STEP_MS));
 }
 
+#define REGIONS_MOST 3
+
 START_TEST (test_any_span)
 {
-  struct cym_repeats counters[2] = { 0 };
+  struct cym_repeats counters[REGIONS_MOST][2] = { 0 };
   unsigned requests[STEPS] = { 0 };
   unsigned repeats[STEPS] = { 0 };
   unsigned sum = 0;
   for (unsigned step = 0; step < STEPS; step++)
     {
-      bool moved = loads[_i].moves > 0 && step >= loads[_i].moves;
-      struct cym_repeats *at = &counters[moved];
       cy_time_ns now
           = 1000 * CY_NS_PER_S + (loads[_i].shift_ms + step * STEP_MS) * MS;
-      bool high = step / loads[_i].period % 2 == 0;
-      requests[step] = high ? loads[_i].high : loads[_i].low;
-      for (unsigned i = 0; i < requests[step]; i++)
-        cym_repeats_request (at, &bounds, now);
-      while (step % loads[_i].pause == 0
-             && cym_repeats_take (at, &bounds, 1, now))
-        repeats[step]++;
+      for (unsigned region = 0; region < loads[_i].regions; region++)
+        {
+          bool moved = loads[_i].moves > 0 && step >= loads[_i].moves;
+          struct cym_repeats *at = &counters[region][moved];
+          unsigned later = 2 * loads[_i].period * region / loads[_i].regions;
+          bool high = (step + later) / loads[_i].period % 2 == 0;
+          unsigned asked = high ? loads[_i].high : loads[_i].low;
+          for (unsigned i = 0; i < asked; i++)
+            cym_repeats_request (at, &bounds, now);
+          requests[step] += asked;
+          while (
+              step % loads[_i].pause == 0
+              && cym_repeats_take (at, &bounds, 1.0 / loads[_i].regions, now))
+            repeats[step]++;
+        }
       sum += repeats[step];
     }
   for (int from = 0; from + WINDOW / STEP_MS <= STEPS; from++)
