Placers tell each other their counts for the budget of repeats

Cause: the window around the start of a span that began before the load is empty, and a placer knows only its own counts, so it cannot use the fleet's better windows. A placer that took over had a second fault: the fixed part came in at once when it had been a placer before (95 repeats where 50 are allowed) and over its first window otherwise, while the last one may just have spent it all (100 of 50).

Change: every 250 ms control VMs tell what they placed and repeated of each service since their start (60 bytes). A region has what its own requests around the start of the span allow, counted over all its placers, and an even part of what the fleet's best window allows beyond. These add up to the fleet's budget. Without word from a region the extra part is left out. The fixed part waits until a placer has listened for a window.

Tests: test_repeats, "the placer moves" against one that has been a placer before (265 of 250, 95 of 50) and after a burst (100 of 50), which failed before; regions that begin at once, that are cut off, a load that has just begun, and what a placer says after a cut or a new start. test_share has the new argument only.

--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -2437,6 +2437,51 @@
   assert(message->base.descriptor == &cy__hub_sync__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cy__placed_count__init
+                     (Cy__PlacedCount         *message)
+{
+  static const Cy__PlacedCount init_value = CY__PLACED_COUNT__INIT;
+  *message = init_value;
+}
+size_t cy__placed_count__get_packed_size
+                     (const Cy__PlacedCount *message)
+{
+  assert(message->base.descriptor == &cy__placed_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cy__placed_count__pack
+                     (const Cy__PlacedCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cy__placed_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cy__placed_count__pack_to_buffer
+                     (const Cy__PlacedCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cy__placed_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cy__PlacedCount *
+       cy__placed_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cy__PlacedCount *)
+     protobuf_c_message_unpack (&cy__placed_count__descriptor,
+                                allocator, len, data);
+}
+void   cy__placed_count__free_unpacked
+                     (Cy__PlacedCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cy__placed_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cy__loan__init
                      (Cy__Loan         *message)
 {
@@ -8684,7 +8729,7 @@
   (ProtobufCMessageInit) cy__control_vm__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__hub_sync__field_descriptors[18] =
+static const ProtobufCFieldDescriptor cy__hub_sync__field_descriptors[19] =
 {
   {
     "self",
@@ -8902,6 +8947,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placed",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cy__HubSync, n_placed),
+    offsetof(Cy__HubSync, placed),
+    &cy__placed_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__hub_sync__field_indices_by_name[] = {
   16,   /* field[16] = attached */
@@ -8915,6 +8972,7 @@
   8,   /* field[8] = known */
   14,   /* field[14] = leads */
   11,   /* field[11] = loans */
+  18,   /* field[18] = placed */
   5,   /* field[5] = renewed */
   17,   /* field[17] = rests */
   0,   /* field[0] = self */
@@ -8926,7 +8984,7 @@
 static const ProtobufCIntRange cy__hub_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor cy__hub_sync__descriptor =
 {
@@ -8936,13 +8994,77 @@
   "Cy__HubSync",
   "cy",
   sizeof(Cy__HubSync),
-  18,
+  19,
   cy__hub_sync__field_descriptors,
   cy__hub_sync__field_indices_by_name,
   1,  cy__hub_sync__number_ranges,
   (ProtobufCMessageInit) cy__hub_sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cy__placed_count__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlacedCount, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlacedCount, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlacedCount, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cy__placed_count__field_indices_by_name[] = {
+  2,   /* field[2] = repeats */
+  1,   /* field[1] = requests */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange cy__placed_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cy__placed_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cy.PlacedCount",
+  "PlacedCount",
+  "Cy__PlacedCount",
+  "cy",
+  sizeof(Cy__PlacedCount),
+  3,
+  cy__placed_count__field_descriptors,
+  cy__placed_count__field_indices_by_name,
+  1,  cy__placed_count__number_ranges,
+  (ProtobufCMessageInit) cy__placed_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cy__loan__field_descriptors[4] =
 {
   {
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -69,6 +69,7 @@
 typedef struct Cy__EntryVm Cy__EntryVm;
 typedef struct Cy__ControlVm Cy__ControlVm;
 typedef struct Cy__HubSync Cy__HubSync;
+typedef struct Cy__PlacedCount Cy__PlacedCount;
 typedef struct Cy__Loan Cy__Loan;
 typedef struct Cy__SlotNeed Cy__SlotNeed;
 typedef struct Cy__HomeNeed Cy__HomeNeed;
@@ -1455,10 +1456,28 @@
   Cy__SlotNeed **slot_needs;
   size_t n_token_needs;
   Cy__TokenNeed **token_needs;
+  size_t n_placed;
+  Cy__PlacedCount **placed;
 };
 #define CY__HUB_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__hub_sync__descriptor) \
-    , NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * What the sender placed of one service since its start, for the budget of
+ * repeats.
+ */
+struct  Cy__PlacedCount
+{
+  ProtobufCMessage base;
+  char *service;
+  uint64_t requests;
+  uint64_t repeats;
+};
+#define CY__PLACED_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cy__placed_count__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -2892,6 +2911,25 @@
 void   cy__hub_sync__free_unpacked
                      (Cy__HubSync *message,
                       ProtobufCAllocator *allocator);
+/* Cy__PlacedCount methods */
+void   cy__placed_count__init
+                     (Cy__PlacedCount         *message);
+size_t cy__placed_count__get_packed_size
+                     (const Cy__PlacedCount   *message);
+size_t cy__placed_count__pack
+                     (const Cy__PlacedCount   *message,
+                      uint8_t             *out);
+size_t cy__placed_count__pack_to_buffer
+                     (const Cy__PlacedCount   *message,
+                      ProtobufCBuffer     *buffer);
+Cy__PlacedCount *
+       cy__placed_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cy__placed_count__free_unpacked
+                     (Cy__PlacedCount *message,
+                      ProtobufCAllocator *allocator);
 /* Cy__Loan methods */
 void   cy__loan__init
                      (Cy__Loan         *message);
@@ -3360,6 +3398,9 @@
 typedef void (*Cy__HubSync_Closure)
                  (const Cy__HubSync *message,
                   void *closure_data);
+typedef void (*Cy__PlacedCount_Closure)
+                 (const Cy__PlacedCount *message,
+                  void *closure_data);
 typedef void (*Cy__Loan_Closure)
                  (const Cy__Loan *message,
                   void *closure_data);
@@ -3468,6 +3509,7 @@
 extern const ProtobufCMessageDescriptor cy__entry_vm__descriptor;
 extern const ProtobufCMessageDescriptor cy__control_vm__descriptor;
 extern const ProtobufCMessageDescriptor cy__hub_sync__descriptor;
+extern const ProtobufCMessageDescriptor cy__placed_count__descriptor;
 extern const ProtobufCMessageDescriptor cy__loan__descriptor;
 extern const ProtobufCMessageDescriptor cy__slot_need__descriptor;
 extern const ProtobufCMessageDescriptor cy__home_need__descriptor;
--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -66,6 +66,7 @@
   GHashTable *workspaces; /* name to struct cym_served */
   struct cym_served all;
   double share;
+  bool hears_all; /* the placers of all regions, for the budget of repeats */
 
   /* Requests that run in other regions though they need not.  */
   double spilled;      /* share of those placed, moving average */
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -38,6 +38,7 @@
   struct cym_match *match = g_new0 (struct cym_match, 1);
   match->options = *options;
   match->share = 1;
+  match->hears_all = options->bounds.repeats.regions <= 1;
   match->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   match->by_id = g_hash_table_new (g_str_hash, g_str_equal);
@@ -102,6 +103,40 @@
   service->cold_ms = cold_ms;
 }
 
+/* ------------------------------------------------------------ repeats */
+
+void
+cym_match_hear_all (struct cym_match *match, bool all)
+{
+  match->hears_all = all || match->options.bounds.repeats.regions <= 1;
+}
+
+void
+cym_match_hear_repeats (struct cym_match *match, const char *service,
+                        enum cym_repeats_source source, uint32_t requests,
+                        uint32_t repeats, cy_time_ns now)
+{
+  cym_repeats_hear (&service_get (match, service)->repeats,
+                    &match->options.bounds.repeats, source, requests, repeats,
+                    now);
+}
+
+void
+cym_match_each_count (const struct cym_match *match, cym_count_fn each,
+                      void *context)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, match->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct cym_service *service = value;
+      if (service->repeats.requests + service->repeats.repeats > 0)
+        each (service->name, service->repeats.requests,
+              service->repeats.repeats, context);
+    }
+}
+
 /* ------------------------------------------------------------ placing */
 
 bool
@@ -201,8 +236,9 @@
   cym_demand_measure (service, now);
   if (ask->again)
     {
+      struct cym_repeat_view view = { match->share, match->hears_all };
       if (!cym_repeats_take (&service->repeats, &match->options.bounds.repeats,
-                             match->share, now))
+                             &view, now))
         return CY_E_RETRY_BUDGET;
     }
   else
@@ -395,6 +431,8 @@
   server->extra_ns = server->own ? 0 : CYM_REGION_MS * CY_NS_PER_MS;
   CK_LIST_INSERT_HEAD (&server->service->servers, server, entry);
   g_hash_table_insert (match->by_id, server->id, server);
+  cym_repeats_listen (&server->service->repeats,
+                      &match->options.bounds.repeats, now);
   return server;
 }
 
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -252,6 +252,23 @@
 void cym_match_lend (struct cym_match *match, const char *id, uint64_t born,
                      uint32_t slots, cy_time_ns now);
 
+/* ------------------------------------------------------------ repeats */
+
+/* Whether the placers of all regions are heard.  */
+void cym_match_hear_all (struct cym_match *match, bool all);
+
+/* Another placer counted REQUESTS and REPEATS since it last told.  */
+void cym_match_hear_repeats (struct cym_match *match, const char *service,
+                             enum cym_repeats_source source, uint32_t requests,
+                             uint32_t repeats, cy_time_ns now);
+
+/* Calls EACH for every service with what this matcher counted since its
+   start.  */
+typedef void (*cym_count_fn) (const char *service, uint64_t requests,
+                              uint64_t repeats, void *context);
+void cym_match_each_count (const struct cym_match *match, cym_count_fn each,
+                           void *context);
+
 /* ------------------------------------------------------------ questions */
 
 struct cym_room
--- a/src/core/cym_repeats.h
+++ b/src/core/cym_repeats.h
@@ -1,14 +1,16 @@
 /* Budget of repeats: requests that are sent to a second backend server, as a
    share of the requests of the service in a window and a fixed part besides.
-   It holds for every span of a window's length, wherever it begins, against
-   the requests of the window around the span's start: when a repeat is allowed
-   nobody knows whether requests will go on.
+   It binds the sum over all placers, for every span of a window's length,
+   wherever it begins, against the requests of that span, the one before it or
+   the one half a window before it: when a repeat is allowed nobody knows
+   whether requests will go on.
 
-   Each placer counts what it places.  All take the same window, so the budget
-   holds for their sum however the requests are split between them and whenever
-   they move; with the best of several windows each, regions whose loads rise
-   and fall in turn would sum to more than the fleet's best window.
-   Pure, one thread at a time.  */
+   Each region has what its own requests of the window around the span's start
+   allow.  These add up to that window of the fleet, however the requests are
+   split and whenever placers move.  What the fleet's best window allows beyond
+   is split evenly, by the counts that the placers tell each other; with the
+   best window of each region instead, regions whose loads rise and fall in
+   turn would sum to more than the fleet's.  Pure, one thread at a time.  */
 
 #ifndef CYM_REPEATS_H
 #define CYM_REPEATS_H
@@ -18,36 +20,84 @@
 
 #include "core/cy_clock.h"
 
-#define CYM_REPEATS_SLICES 20                               /* of the window */
-#define CYM_REPEATS_KEPT   (3 * CYM_REPEATS_SLICES / 2 + 1) /* slices */
+#define CYM_REPEATS_SLICES 20                           /* of the window */
+#define CYM_REPEATS_KEPT   (2 * CYM_REPEATS_SLICES + 1) /* slices */
 
 /* How many repeats are allowed.  */
 struct cym_repeat_bounds
 {
   cy_time_ns window;
-  double ratio; /* of the requests in the window */
-  double fixed; /* besides, in any window */
+  double ratio;     /* of the requests in the window */
+  double fixed;     /* besides, in any window, in one region */
+  unsigned regions; /* of the fleet, 0 counts as 1 */
 };
 
-struct cym_repeats
+/* Which placer a count is of.  */
+enum cym_repeats_source
+{
+  CYM_REPEATS_OWN,
+  CYM_REPEATS_REGION,    /* another one of the same region */
+  CYM_REPEATS_ELSEWHERE, /* one of another region */
+  CYM_REPEATS_SOURCES
+};
+
+struct cym_repeat_counts
 {
   uint32_t requests[CYM_REPEATS_KEPT];
   uint32_t repeats[CYM_REPEATS_KEPT];
+};
+
+struct cym_repeats
+{
+  struct cym_repeat_counts of[CYM_REPEATS_SOURCES];
+  uint64_t requests; /* own, since the start */
+  uint64_t repeats;
   int64_t slice;    /* number of the newest slice since time 0 */
-  cy_time_ns since; /* of the first request counted, 0: none yet */
+  cy_time_ns since; /* of the first call, 0: none yet */
 };
 
+/* What this placer knows of the others.  */
+struct cym_repeat_view
+{
+  double share; /* of the region's requests that it places, 0 to 1 */
+  bool all;     /* it hears the placers of all regions */
+};
+
+/* Listens from NOW on: to be called before the first request may come, so that
+   the repeats of other placers of the last window are known by then.  */
+void cym_repeats_listen (struct cym_repeats *repeats,
+                         const struct cym_repeat_bounds *bounds,
+                         cy_time_ns now);
+
 /* A request came in.  */
 void cym_repeats_request (struct cym_repeats *repeats,
                           const struct cym_repeat_bounds *bounds,
                           cy_time_ns now);
 
-/* Takes one repeat; false when the budget is spent.  SHARE: part of the fixed
-   repeats that is this counter's, 0 to 1.  A counter that has begun less than
-   a window ago may follow another one that spent its part, so the fixed part
-   comes in over the first window.  */
+/* Another placer tells what it counted since it last did.  */
+void cym_repeats_hear (struct cym_repeats *repeats,
+                       const struct cym_repeat_bounds *bounds,
+                       enum cym_repeats_source source, uint32_t requests,
+                       uint32_t taken, cy_time_ns now);
+
+/* What another placer said last: what it counted since its start.  */
+struct cym_repeats_told
+{
+  uint64_t requests;
+  uint64_t repeats;
+  cy_time_ns at; /* 0: never */
+};
+
+/* Notes that it says REQUESTS and REPEATS now, and leaves in both what is new.
+   Nothing is new the first time: how much of it is of the last window is not
+   known.  After more than GAP without a word the requests are left out, as
+   they may be older than the newest slice.  */
+void cym_repeats_news (struct cym_repeats_told *told, cy_time_ns gap,
+                       uint64_t *requests, uint64_t *repeats, cy_time_ns now);
+
+/* Takes one repeat; false when the budget is spent.  */
 bool cym_repeats_take (struct cym_repeats *repeats,
-                       const struct cym_repeat_bounds *bounds, double share,
-                       cy_time_ns now);
+                       const struct cym_repeat_bounds *bounds,
+                       const struct cym_repeat_view *view, cy_time_ns now);
 
 #endif /* CYM_REPEATS_H */
--- a/src/hub/cyc_hub.c
+++ b/src/hub/cyc_hub.c
@@ -155,6 +155,7 @@
   cyc_join_beat (hub);
   cyc_dispatch_beat (hub);
   cyc_lending_beat (hub);
+  cyc_repeats_beat (hub);
   cyc_announce_check (hub);
   cyc_links_send (hub, true);
   cyc_children_tell (hub);
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -66,7 +66,9 @@
   bool wants_join;
   bool leads;
   uint64_t committed;
-  GHashTable *lent; /* servers that it lends slots of: id to uint64_t born */
+  GHashTable *lent;   /* servers that it lends slots of: id to uint64_t born */
+  uint32_t attached;  /* entry VMs whose requests it places */
+  GHashTable *placed; /* service to struct cym_repeats_told */
 };
 
 /* What another region could use of one service here, in slots.  */
@@ -221,6 +223,15 @@
 void cyc_lending_destroy (struct cyc_hub *hub);
 void cyc_lending_gift (struct cyc_hub *hub, const Cy__TokenGift *gift);
 
+/* ---- cyc_repeats.c */
+void cyc_repeats_fill (struct cyc_hub *hub, Cy__HubSync *sync);
+void cyc_repeats_clear (Cy__HubSync *sync);
+void cyc_repeats_take (struct cyc_hub *hub, struct cyc_peer *peer,
+                       const Cy__HubSync *sync);
+
+/* Looks whether the placers of all regions are heard.  */
+void cyc_repeats_beat (struct cyc_hub *hub);
+
 /* ---- cyc_join.c */
 void cyc_join_beat (struct cyc_hub *hub);
 bool cyc_join_has (const struct cyc_hub *hub, uint64_t member);
--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -106,6 +106,8 @@
   peer->known = cyc_now (hub);
   peer->backoff_ms = BACKOFF_MS;
   peer->lent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  peer->placed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   peer->redial = cyn_timer_create (hub->options.loop, dial, peer);
   CK_LIST_INSERT_HEAD (&hub->peers, peer, entry);
   cyn_timer_start (peer->redial, 0);
@@ -119,6 +121,7 @@
   CK_LIST_REMOVE (peer, entry);
   cyn_timer_destroy (peer->redial);
   g_hash_table_destroy (peer->lent);
+  g_hash_table_destroy (peer->placed);
   g_free (peer->host);
   g_free (peer->vm);
   g_free (peer->zone);
@@ -324,7 +327,10 @@
     }
   frame.rests = beat;
   if (beat)
-    cyc_lending_fill (hub, &frame);
+    {
+      cyc_lending_fill (hub, &frame);
+      cyc_repeats_fill (hub, &frame);
+    }
   CK_LIST_FOREACH (peer, &hub->peers, entry)
   {
     if (peer->conn == NULL || !cyn_conn_is_open (peer->conn))
@@ -336,7 +342,10 @@
     peer->acks_due = false;
   }
   if (beat)
-    cyc_lending_clear (&frame);
+    {
+      cyc_lending_clear (&frame);
+      cyc_repeats_clear (&frame);
+    }
   if (renew)
     {
       hub->renewed = now;
@@ -429,6 +438,7 @@
       cyc_hub_changed (hub);
     }
   cyc_lending_take (hub, peer, sync);
+  cyc_repeats_take (hub, peer, sync);
   cyc_announce_check (hub);
 }
 
--- a/src/hub/main.c
+++ b/src/hub/main.c
@@ -133,7 +133,8 @@
     = { .repeats = { .window = settings->repeat_window * CY_NS_PER_MS,
                      .ratio = settings->repeat_ratio,
                      .fixed = settings->repeat_fixed
-                              / (double)cyc_topology_regions (topology) } },
+                              / (double)cyc_topology_regions (topology),
+                     .regions = cyc_topology_regions (topology) } },
   };
   cyu_address_split (settings->control, &control_host, &options.http_port);
   program.loop = cyn_loop_create (cy_system_clock ());
