Loans for requests that one region alone may serve are kept for them

Change: requests that may run anywhere take a borrowed slot only beyond what is wanted by those that may not; the home grants the part of what is wanted that its own callers get of theirs, at home and on loan.

Tests: test_loans_for_homes (failed before: 85 of 502 served, 0.7 of them due by Erlang's formula), test_shares (new function).

--- a/src/core/cym_choose.c
+++ b/src/core/cym_choose.c
@@ -116,7 +116,7 @@
 {
   return cym_is_usable (server, now) && cym_is_home (server, ask)
          && server->in_flight + 1 <= cym_capacity (match, server, now)
-         && (server->own || cym_spill_may (match, ask, now))
+         && (server->own || cym_spill_may (match, ask, server, now))
          && bears_one (match, server, now);
 }
 
--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -50,12 +50,15 @@
   cy_time_ns measured;
 };
 
-/* Requests that only the servers of one other region may serve.  */
+/* Requests that only the servers of one other region may serve, and the slots
+   that are lent from there.  */
 struct cym_home
 {
   uint32_t in_flight;
   double busy; /* moving averages, as in struct cym_service */
   double refused;
+  uint32_t lent;
+  uint32_t others; /* slots in use by requests that other regions may serve */
 };
 
 struct cym_match
@@ -77,6 +80,11 @@
   cy_time_ns spill_begun; /* first request after none for long */
 };
 
+/* The requests of SERVICE that are at home in REGION, made at the first call;
+   lives as long as the service.  */
+struct cym_home *cym_home_get (struct cym_service *service,
+                               const char *region);
+
 /* ---- cym_choose.c */
 
 /* How long a server takes for ASK, as far as known, ns.  */
@@ -131,10 +139,11 @@
 
 /* ---- cym_spill.c */
 
-/* True when ASK may be placed in another region without moving more of the
-   region's requests there at once than may shift.  */
+/* True when ASK may be placed at SERVER of another region without moving more
+   of the region's requests there at once than may shift, and without taking
+   what is lent for requests that may run only there.  */
 bool cym_spill_may (const struct cym_match *match, const struct cym_ask *ask,
-                    cy_time_ns now);
+                    const struct cym_server *server, cy_time_ns now);
 
 /* ASK was placed, AWAY or not.  */
 void cym_spill_note (struct cym_match *match, const struct cym_ask *ask,
--- a/src/core/cym_loans.c
+++ b/src/core/cym_loans.c
@@ -7,6 +7,16 @@
 #define STEP_UP   1.0  /* of a loan, or a slot, by which it grows in a beat */
 #define STEP_DOWN 0.12 /* of a loan, or half a slot, by which it falls */
 
+/* ------------------------------------------------------------ shares */
+
+double
+cym_want_fair (const struct cym_demand *demand, double homed)
+{
+  double wanted = demand->local + homed;
+  double served = demand->own + demand->borrowed;
+  return wanted <= served ? 1 : served / wanted;
+}
+
 /* ------------------------------------------------------------ steps */
 
 static double
--- a/src/core/cym_loans.h
+++ b/src/core/cym_loans.h
@@ -31,6 +31,12 @@
    get theirs at once; the others move in steps.  */
 uint32_t cym_want_move (struct cym_want *want, double homed, double spill);
 
+/* Part of the HOMED slots that other regions want here for requests that only
+   this one may serve, 0 to 1: as much as the own callers get of what they
+   want, here or on loan elsewhere.  The own slots alone are no measure, as
+   those of the own callers that find no room can go elsewhere.  */
+double cym_want_fair (const struct cym_demand *demand, double homed);
+
 struct cym_loans;
 
 /* MATCH belongs to the caller and lives longer.  */
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -152,6 +152,8 @@
   server->in_flight++;
   if (ask->away)
     cym_demand_away (ask, 1);
+  else if (!server->own)
+    server->home->others++;
   cym_spill_note (match, ask, !server->own, now);
   ask->server = server;
   ask->usual = ask->class_of->work_ns > 0
@@ -428,6 +430,8 @@
   server->speed_at = now;
   server->cold_filled = now;
   server->own = strcmp (facts->region, match->options.region) == 0;
+  if (!server->own)
+    server->home = cym_home_get (server->service, server->region);
   server->extra_ns = server->own ? 0 : CYM_REGION_MS * CY_NS_PER_MS;
   CK_LIST_INSERT_HEAD (&server->service->servers, server, entry);
   g_hash_table_insert (match->by_id, server->id, server);
@@ -541,6 +545,8 @@
 {
   struct cym_service *service = service_get (match, name);
   const struct cym_server *server = NULL;
+  GHashTableIter iter;
+  gpointer value;
   memset (demand, 0, sizeof *demand);
   cym_demand_measure (service, now);
   CK_LIST_FOREACH (server, &service->servers, entry)
@@ -550,6 +556,9 @@
       demand->own += server->slots;
   }
   demand->local = service->busy + service->refused + service->waiting_count;
+  g_hash_table_iter_init (&iter, service->homes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    demand->borrowed += ((const struct cym_home *)value)->others;
 }
 
 void
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -68,6 +68,7 @@
 struct cym_service;
 struct cym_class;
 struct cym_served;
+struct cym_home;
 
 /* An object that a server handled, and in which turn.  */
 struct cym_object
@@ -89,12 +90,13 @@
   uint64_t born;
   uint32_t slots;
   bool draining;
-  bool listed;        /* in the register */
-  bool own;           /* its slots are this matcher's, else lent */
-  uint32_t lent;      /* slots lent to this matcher, if not OWN */
-  uint32_t given;     /* slots lent to other matchers, if OWN */
-  uint32_t in_flight; /* placed by this matcher */
-  double foreign;     /* placed by others, as its answers show */
+  bool listed;           /* in the register */
+  bool own;              /* its slots are this matcher's, else lent */
+  uint32_t lent;         /* slots lent to this matcher, if not OWN */
+  struct cym_home *home; /* of its region, if not OWN */
+  uint32_t given;        /* slots lent to other matchers, if OWN */
+  uint32_t in_flight;    /* placed by this matcher */
+  double foreign;        /* placed by others, as its answers show */
   cy_time_ns foreign_at;
   cy_time_ns cold_until;
   double cold_tokens; /* requests that it bears now */
@@ -235,8 +237,9 @@
 /* What the requests of the last seconds would have kept busy, in slots.  */
 struct cym_demand
 {
-  double own;   /* slots of own servers that take requests */
-  double local; /* wanted by requests that own servers may serve */
+  double own;      /* slots of own servers that take requests */
+  double local;    /* wanted by requests that own servers may serve */
+  double borrowed; /* of other regions that these requests use now */
 };
 void cym_match_demand (struct cym_match *match, const char *service,
                        cy_time_ns now, struct cym_demand *demand);
--- a/src/core/cym_spill.c
+++ b/src/core/cym_spill.c
@@ -35,15 +35,27 @@
   bool stays = false;
   GHashTableIter iter;
   gpointer value;
+  g_hash_table_iter_init (&iter, service->homes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct cym_home *home = value;
+      home->lent = 0;
+      home->others = 0;
+    }
   CK_LIST_FOREACH (server, &service->servers, entry)
   {
     in_flight += server->in_flight;
     stays = stays || (server->own && cym_is_usable (server, now));
+    if (server->own)
+      continue;
+    server->home->lent += server->listed ? server->lent : 0;
+    server->home->others += server->in_flight;
   }
   g_hash_table_iter_init (&iter, service->homes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct cym_home *home = value;
+      home->others -= MIN (home->others, home->in_flight);
       in_flight -= home->in_flight;
       move_average (&home->busy, home->in_flight, kept);
       home->refused *= kept;
@@ -54,19 +66,24 @@
   service->measured = now;
 }
 
-static struct cym_home *
-home_of (struct cym_ask *ask)
+struct cym_home *
+cym_home_get (struct cym_service *service, const char *region)
 {
-  GHashTable *homes = ask->at->homes;
-  struct cym_home *home = g_hash_table_lookup (homes, ask->homes[0]);
+  struct cym_home *home = g_hash_table_lookup (service->homes, region);
   if (home == NULL)
     {
       home = g_new0 (struct cym_home, 1);
-      g_hash_table_insert (homes, g_strdup (ask->homes[0]), home);
+      g_hash_table_insert (service->homes, g_strdup (region), home);
     }
   return home;
 }
 
+static struct cym_home *
+home_of (struct cym_ask *ask)
+{
+  return cym_home_get (ask->at, ask->homes[0]);
+}
+
 void
 cym_demand_refused (struct cym_ask *ask)
 {
@@ -88,10 +105,21 @@
 
 /* ------------------------------------------------------------ spill */
 
+/* True when HOME lends more than the requests want that may run only there and
+   than the others have of it.  */
+static bool
+has_spare (const struct cym_home *home)
+{
+  double wanted = home->busy + home->refused;
+  return home->others + 1 <= home->lent - fmin (wanted, home->lent);
+}
+
 bool
 cym_spill_may (const struct cym_match *match, const struct cym_ask *ask,
-               cy_time_ns now)
+               const struct cym_server *server, cy_time_ns now)
 {
+  if (!ask->away && !has_spare (server->home))
+    return false;
   /* Without a server in the own region nothing shifts: it all has to go.  Nor
      does anything while there is no share yet that could change.  */
   return ask->away || !ask->at->stays || match->spill_tokens >= 1
--- a/src/hub/cyc_lending.c
+++ b/src/hub/cyc_lending.c
@@ -294,7 +294,7 @@
   struct sums sums = sum_wants (hub, want->service);
   cym_match_demand (hub->match, want->service, now, &demand);
   double all = demand.local + sums.homed;
-  double fair = all > demand.own ? demand.own / fmax (all, 1e-9) : 1;
+  double fair = cym_want_fair (&demand, sums.homed);
   double spare = fmax (demand.own * (1 - SPARE_KEPT) - all, 0);
   double part = sums.spill > spare ? spare / sums.spill : 1;
   uint32_t slots
--- a/tests/match/test_loans.c
+++ b/tests/match/test_loans.c
@@ -212,6 +212,32 @@
 }
 END_TEST
 
+/* Who gets how much of a region's slots for requests that only it serves.  */
+static const struct
+{
+  const char *pattern;
+  struct cym_demand demand; /* own, local, borrowed */
+  double homed;
+  double least;
+  double most;
+} shares[] = {
+  { "room for all", { 80, 40, 0 }, 20, 1, 1 },
+  { "a little short", { 80, 80, 0 }, 20, 0.79, 0.81 },
+  { "own callers press", { 84, 820, 0 }, 20, 0.09, 0.11 },
+  { "own callers press and go elsewhere", { 84, 820, 252 }, 20, 0.39, 0.41 },
+  { "own callers have room elsewhere", { 84, 200, 150 }, 20, 1, 1 },
+  { "no slots left", { 0, 820, 0 }, 20, 0, 0 },
+  { "nobody wants any", { 0, 0, 0 }, 0, 1, 1 },
+};
+
+START_TEST (test_shares)
+{
+  double part = cym_want_fair (&shares[_i].demand, shares[_i].homed);
+  ck_assert_msg (part >= shares[_i].least && part <= shares[_i].most,
+                 "%s: %.2f", shares[_i].pattern, part);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -221,6 +247,7 @@
   tcase_add_test (tcase, test_starts_anew);
   tcase_add_test (tcase, test_counts);
   tcase_add_test (tcase, test_borrowed);
+  tcase_add_loop_test (tcase, test_shares, 0, G_N_ELEMENTS (shares));
   tcase_add_loop_test (tcase, test_ramps, 0, G_N_ELEMENTS (ramps));
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
--- a/tests/match/test_match.c
+++ b/tests/match/test_match.c
@@ -288,6 +288,29 @@
 /* ------------------------------------------------------------ regions */
 
 /* Requests that only another region may serve need slots lent there.  */
+/* The own region is full.  The slots on loan are for requests that may run
+   only in the lender's region first: what the others take of them is lost to a
+   workspace that can go nowhere else.  */
+START_TEST (test_loans_for_homes)
+{
+  static const struct kind kinds[] = {
+    { "any", "w", 400, 100, 100, 0, 500, 2000, 1, NULL },
+    { "homed", "x", 50, 100, 100, 0, 500, 2000, 1, "r2" },
+  };
+  world_start ();
+  world_servers (2, 6, 0, 6);
+  cym_match_lend (world.match, "i40", 1, 6, world.now);
+  world_pass (kinds, 2, 2000);
+  memset (world.tally, 0, sizeof world.tally);
+  world_pass (kinds, 2, 10000);
+  /* As if the five slots that they want were theirs alone: of that load five
+     slots without a queue refuse 0.285 (Erlang B).  */
+  ck_assert_uint_ge (world.tally[1].on_time + world.tally[1].late,
+                     world.tally[1].asked * 7 / 10);
+  world_stop ();
+}
+END_TEST
+
 START_TEST (test_homes)
 {
   static const struct kind kind
@@ -411,6 +434,7 @@
   suite_add_tcase (suite, patterns);
   TCase *regions = tcase_create ("regions");
   tcase_set_timeout (regions, 60);
+  tcase_add_test (regions, test_loans_for_homes);
   tcase_add_test (regions, test_homes);
   tcase_add_test (regions, test_spill_steps);
   tcase_add_test (regions, test_spill_at_start);
