test_golden knows both forms of an answer that ends with its connection

Cause: such an answer has no length of its own. backend_response sends it with a length when its end is here before the head is handed on, and in chunks otherwise; which one comes depends on when the close arrives. The transcript shows the whole body with its last chunk, so the case is allowed. Ruled out: an answer cut short that looks whole (cut-body and cut-chunks are sessions of their own and passed).

--- a/tests/path/test_golden.c
+++ b/tests/path/test_golden.c
@@ -236,6 +236,21 @@
   return g_string_free (out, FALSE);
 }
 
+/* An answer that ends with its connection goes out with a length when the end
+   is here before the head is handed on, else in chunks: NAME-streamed.txt.  */
+static bool
+is_streamed (const struct session *session, const char *got)
+{
+  char *path
+      = g_strdup_printf (GOLDEN_FOLDER "/%s-streamed.txt", session->name);
+  char *wanted = NULL;
+  bool same = g_file_get_contents (path, &wanted, NULL, NULL)
+              && strcmp (got, wanted) == 0;
+  g_free (wanted);
+  g_free (path);
+  return same;
+}
+
 START_TEST (test_session)
 {
   const struct session *session = &sessions[_i];
@@ -246,8 +261,8 @@
     ck_assert (g_file_set_contents (path, got, -1, NULL));
   ck_assert_msg (g_file_get_contents (path, &wanted, NULL, NULL), "no %s",
                  path);
-  ck_assert_msg (strcmp (got, wanted) == 0, "%s differs; got:\n%s",
-                 session->name, got);
+  ck_assert_msg (strcmp (got, wanted) == 0 || is_streamed (session, got),
+                 "%s differs; got:\n%s", session->name, got);
   ck_assert_ptr_null (strstr (got, "backend > Authorization"));
   g_free (wanted);
   g_free (got);
