A connection that brought another request's answer is closed

Cause: servers send an additional answer late, where the next one is due. The request's id shows that it is another one's; the attempt was given up and made again at the same server 2 ms later. But the answer was judged after libcurl had handed the head on: where the whole foreign answer had come in one piece, the transfer had ended and its connection lay among the kept ones. The repeat took that connection and read what was left there, under its own id. Ruled out: a repeat by libcurl itself (before_send stops it).

Change: the head is judged inside libcurl's callback; what is no answer to the request ends the transfer with an error, and libcurl closes the connection.

Test: test_foreign, three requests of which some get another one's answer; the foreign answer ended well and its connection was kept before (3 of 4 cases failed), each has its own connection afterwards.

--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -153,7 +153,13 @@
                          &call->head.status);
       call->head.complete = call->head.status >= 200;
       if (call->head.complete)
-        changed (call);
+        {
+          const struct cye_call_options *options = &call->options;
+          changed (call);
+          if (options->accepts != NULL
+              && !options->accepts (&call->head, options->context))
+            return 0;
+        }
     }
   else
     take_line (call, line, length);
--- a/src/entry/cye_call.h
+++ b/src/entry/cye_call.h
@@ -49,6 +49,8 @@
 size_t cye_bytes_take (struct cye_bytes *bytes, void *out, size_t room,
                        bool keep);
 
+struct cye_answer_head;
+
 struct cye_call_options
 {
   struct cyh_client *client;
@@ -68,6 +70,11 @@
   /* Something came or the call ended; called from inside libcurl, so that it
      only notes CONTEXT for later.  */
   void (*on_change) (void *context);
+  /* False when what has come is no answer to this request: the connection is
+     closed, as more of another one's answer may follow on it.  Called from
+     inside libcurl, before any other request can use the connection.  NULL:
+     any answer is.  */
+  bool (*accepts) (const struct cye_answer_head *head, void *context);
   void *context;
 };
 
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -24,6 +24,12 @@
   cye_worker_note (request->worker, request);
 }
 
+static bool
+accepts (const struct cye_answer_head *head, void *context)
+{
+  return cye_is_answer (context, head);
+}
+
 static void
 add_line (struct cye_request *request, const char *name, const char *value)
 {
@@ -124,6 +130,7 @@
     .timeout_ms = left_ms,
     .clock = request->shared->clock,
     .on_change = on_change,
+    .accepts = accepts,
     .context = request,
   };
   request->call = cye_call_create (&options);
--- a/src/entry/cye_judge.c
+++ b/src/entry/cye_judge.c
@@ -43,6 +43,32 @@
          || (echo != NULL && strcmp (echo, request->request_id) == 0);
 }
 
+/* A success without the server's stamp is not the server's.  */
+static bool
+is_genuine (const struct cye_request *request,
+            const struct cye_answer_head *head)
+{
+  const struct cye_names *names = request->shared->names;
+  bool stamped
+      = names->stamp == NULL || cye_answer_header (head, names->stamp) != NULL;
+  return head->status >= 300
+         || (stamped && cye_answer_header (head, "Content-Encoding") == NULL);
+}
+
+bool
+cye_is_answer (const struct cye_request *request,
+               const struct cye_answer_head *head)
+{
+  switch (request->shared->layout)
+    {
+    case CYE_HUB:
+      return is_ours (request, head) && is_genuine (request, head);
+    case CYE_TREE:
+      return true;
+    }
+  return true;
+}
+
 static enum cye_verdict
 judge_at_hub (struct cye_request *request, const struct cye_answer_head *head)
 {
@@ -54,10 +80,7 @@
     return CYE_WRONG;
   if (cye_answer_header (head, names->not_run) != NULL)
     return CYE_DECLINED;
-  bool stamped
-      = names->stamp == NULL || cye_answer_header (head, names->stamp) != NULL;
-  if (head->status < 300
-      && (!stamped || cye_answer_header (head, "Content-Encoding") != NULL))
+  if (!is_genuine (request, head))
     return CYE_INVALID;
   return head->status >= 500 ? CYE_FAILED : CYE_GOOD;
 }
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -150,6 +150,10 @@
 };
 enum cye_verdict cye_judge (struct cye_request *request);
 
+/* False when HEAD is of an answer that cye_judge calls CYE_INVALID.  */
+bool cye_is_answer (const struct cye_request *request,
+                    const struct cye_answer_head *head);
+
 /* Returns the value of header NAME of HEAD, NULL if there is none.  */
 const char *cye_answer_header (const struct cye_answer_head *head,
                                const char *name);
--- /dev/null
+++ b/tests/path/test_foreign.c
@@ -0,0 +1,144 @@
+/* An answer that belongs to another request: a backend server sends it late on
+   a kept connection, at the place of the next one.  The connection is not used
+   again, as the answer that was due may still come on it.  */
+
+#include <check.h>
+#include <glib.h>
+#include <string.h>
+
+#include "base/cy_system.h"
+#include "cy_test.h"
+#include "entry/cye_call.h"
+#include "entry/cye_headers.h"
+#include "http/cyh_client.h"
+#include "net/cyn_loop.h"
+#include "raw_server.h"
+
+#define GIVE_UP_MS 10000 /* bound of the whole test */
+#define CALL_MS    3000  /* deadline of one call */
+
+/* Which answers are taken for the request's, in turn.  */
+static const struct
+{
+  const char *pattern;
+  bool accepts[3];
+  int connections; /* that the three requests need */
+} rows[] = {
+  { "all are ours", { true, true, true }, 1 },
+  { "the first is another one's", { false, true, true }, 2 },
+  { "the second is another one's", { true, false, true }, 2 },
+  { "none is ours", { false, false, false }, 3 },
+};
+
+static struct
+{
+  struct cyn_loop *loop;
+  struct cyh_client *client;
+  struct raw_server *server;
+  struct cye_call *call;
+  const bool *accepts;
+  unsigned next;
+} world;
+
+static bool
+accepts (const struct cye_answer_head *head, void *context)
+{
+  (void)head;
+  (void)context;
+  return world.accepts[world.next];
+}
+
+static void
+on_change (void *context)
+{
+  (void)context;
+}
+
+static void
+ask (void *context)
+{
+  (void)context;
+  struct cye_call_options options = {
+    .client = world.client,
+    .method = "GET",
+    .host = "127.0.0.1",
+    .port = world.server->port,
+    .target = "/",
+    .upload_length = CYE_LENGTH_NONE,
+    .idempotent = true,
+    .kept_max_s = 5,
+    .keep = true,
+    .timeout_ms = CALL_MS,
+    .clock = cyn_loop_clock (world.loop),
+    .on_change = on_change,
+    .accepts = accepts,
+  };
+  world.call = cye_call_create (&options);
+}
+
+static void
+next (void *context)
+{
+  (void)context;
+  bool whole = cye_call_result (world.call) == CY_OK;
+  ck_assert_int_eq (whole, world.accepts[world.next]);
+  cye_call_destroy (world.call);
+  if (++world.next < G_N_ELEMENTS (rows[0].accepts))
+    ask (NULL);
+  else
+    cyn_loop_stop (world.loop);
+}
+
+static void
+on_done (CURL *easy, CURLcode code, void *context)
+{
+  (void)context;
+  cye_call_done (easy, code);
+  cyn_loop_post (world.loop, next, NULL);
+}
+
+static void
+give_up (void *context)
+{
+  (void)context;
+  ck_abort_msg ("the calls did not end");
+}
+
+START_TEST (test_connections)
+{
+  struct raw_script script = { RAW_ANSWER, RAW_ANSWER, NULL };
+  memset (&world, 0, sizeof world);
+  world.accepts = rows[_i].accepts;
+  world.server = raw_server_start (script);
+  world.loop = cyn_loop_create (cy_system_clock ());
+  struct cyh_client_options options = {
+    .loop = world.loop,
+    .connections_max = 8,
+    .on_done = on_done,
+  };
+  world.client = cyh_client_create (&options);
+  struct cyn_timer *timer = cyn_timer_create (world.loop, give_up, NULL);
+  cyn_timer_start (timer, GIVE_UP_MS);
+  cyn_loop_post (world.loop, ask, NULL);
+  cyn_loop_run (world.loop);
+  ck_assert_msg (atomic_load (&world.server->connections)
+                     == rows[_i].connections,
+                 "%s: %d connections", rows[_i].pattern,
+                 atomic_load (&world.server->connections));
+  cyn_timer_destroy (timer);
+  cyh_client_destroy (world.client);
+  cyn_loop_destroy (world.loop);
+}
+END_TEST
+
+int
+main (void)
+{
+  cyh_client_global ();
+  Suite *suite = suite_create ("foreign");
+  TCase *tcase = tcase_create ("foreign");
+  tcase_set_timeout (tcase, 30);
+  tcase_add_loop_test (tcase, test_connections, 0, G_N_ELEMENTS (rows));
+  suite_add_tcase (suite, tcase);
+  return cy_test_run (suite);
+}
