A refusal is told in full without its audit line

Cause: a refusal is recorded in the log before it is answered. Ruled out: a resend by cyctl (its id is the same, the answer too), an audit trail without the winner's line (the state keeps the last change by itself).

Change: such a refusal is answered from the state that refused it; that its audit line is not confirmed goes to the log.

--- a/src/control/cyo_change.c
+++ b/src/control/cyo_change.c
@@ -228,7 +228,8 @@
     return false;
   if (remembered.found && !remembered.same)
     {
-      cyo_change_finish (request, change, accepted);
+      cyo_change_refuse (request, change, CY_E_REQUEST_REUSED, "request_id",
+                         "this id stands for another change");
       return false;
     }
   return true;
@@ -253,6 +254,39 @@
   return good;
 }
 
+/* A refusal that the state itself bears out.  */
+struct refusal
+{
+  const char *request_id;
+  struct cyx_outcome outcome;
+};
+
+static void
+read_refusal (const struct cys_state *state, const struct cyt_soft *soft,
+              void *context)
+{
+  struct refusal *refusal = context;
+  (void)soft;
+  const Cy__ChangeResult *first
+      = cys_state_result (state, refusal->request_id);
+  bool conflict = refusal->outcome.result == CY_E_VERSION_CONFLICT;
+  refusal->outcome.version = !conflict && first != NULL
+                                 ? first->version
+                                 : cys_state_version (state);
+  if (!conflict)
+    return;
+  refusal->outcome.conflict_who = g_strdup (cys_state_last_who (state));
+  refusal->outcome.conflict_request_id
+      = g_strdup (cys_state_last_request_id (state));
+}
+
+/* True when RESULT tells the operator what came first.  */
+static bool
+names_the_first (cy_result result)
+{
+  return result == CY_E_VERSION_CONFLICT || result == CY_E_REQUEST_REUSED;
+}
+
 void
 cyo_change_refuse (struct cyo_request *request, Cy__Change *change,
                    cy_result result, const char *path, const char *detail)
@@ -267,10 +301,20 @@
   change->n_objects = 0;
   cyx_control_propose (request->control, change, CYO_REFUSE_TIMEOUT_MS,
                        &outcome);
-  if (outcome.result == CY_E_VERSION_CONFLICT
-      || outcome.result == CY_E_REQUEST_REUSED
-      || outcome.result == CY_E_NOT_LEADER)
+  if (names_the_first (outcome.result) || outcome.result == CY_E_NOT_LEADER)
     cyo_answer_outcome (request, &outcome, NULL);
+  else if (names_the_first (result))
+    {
+      /* The audit line is late; the state refuses the change without it.  */
+      cyu_log (G_LOG_LEVEL_MESSAGE,
+               "%s by %s, request %s: %s, audit line not confirmed: %s",
+               change->action, change->who, change->request_id,
+               cy_result_name (result), cy_result_name (outcome.result));
+      struct refusal refusal = { change->request_id, { .result = result } };
+      cyx_control_read (request->control, read_refusal, &refusal);
+      cyo_answer_outcome (request, &refusal.outcome, NULL);
+      cyx_outcome_clear (&refusal.outcome);
+    }
   else
     cyo_answer_problem (request, result, path, detail, NULL);
   cyx_outcome_clear (&outcome);
--- a/src/core/cys_state.c
+++ b/src/core/cys_state.c
@@ -43,6 +43,18 @@
   return state->version;
 }
 
+const char *
+cys_state_last_who (const struct cys_state *state)
+{
+  return state->last_who;
+}
+
+const char *
+cys_state_last_request_id (const struct cys_state *state)
+{
+  return state->last_request_id;
+}
+
 const Cy__ChangeResult *
 cys_state_result (const struct cys_state *state, const char *request_id)
 {
--- a/src/core/cys_state.h
+++ b/src/core/cys_state.h
@@ -36,6 +36,11 @@
 
 uint64_t cys_state_version (const struct cys_state *state);
 
+/* Who made the version in force, under which request id; "" before the first.
+   They belong to STATE.  */
+const char *cys_state_last_who (const struct cys_state *state);
+const char *cys_state_last_request_id (const struct cys_state *state);
+
 /* Applies CHANGE, which a quorum has committed.  A change with a number is
    taken when that is higher than the number in force; a resend and an older
    one are accepted without effect, other content under the number in force is
--- a/tests/operator/fake_control.h
+++ b/tests/operator/fake_control.h
@@ -17,6 +17,7 @@
   bool leader;
   uint16_t leader_http_port; /* when not the leader, 0: not known */
   bool held;                 /* proposals wait */
+  bool late;                 /* proposals find no quorum in time */
   unsigned waiting;          /* proposals that wait */
   bool fits;                 /* what a drain's preview says */
   int64_t unix_ms;
@@ -67,7 +68,9 @@
   while (control->held)
     g_cond_wait (&control->changed, &control->lock);
   control->waiting--;
-  if (control->leader)
+  if (control->late)
+    outcome->result = CY_E_TIMEOUT;
+  else if (control->leader)
     {
       change->unix_ms = control->unix_ms++;
       const Cy__ChangeResult *result
--- a/tests/operator/test_http.c
+++ b/tests/operator/test_http.c
@@ -270,6 +270,60 @@
 }
 END_TEST
 
+/* What a refused change is answered, also while its audit line finds no
+   quorum in time.  */
+struct refused_row
+{
+  const char *base;
+  const char *id; /* NULL: one that was not used before */
+  const char *code;
+  const char *member;
+  const char *value;
+};
+
+static const struct refused_row refused_rows[] = {
+  { "0", NULL, "403", "conflict_who", "\"alice\"" },
+  { "0", NULL, "403", "conflict_request_id", "\"r1\"" },
+  { "0", NULL, "403", "conflict_action", "\"submit\"" },
+  { "0", NULL, "403", "version", "1" },
+  { "1", "r1", "404", "version", "1" },
+};
+
+START_TEST (test_refused_before_its_audit_line)
+{
+  struct http_result result;
+  for (int late = 0; late < 2; late++)
+    for (size_t i = 0; i < G_N_ELEMENTS (refused_rows); i++)
+      {
+        const struct refused_row *row = &refused_rows[i];
+        control.late = false;
+        call ("POST", "/v1/submit?base=0&request_id=r1", ALICE, W1, &result);
+        ck_assert_int_eq (result.status, 200);
+        http_result_clear (&result);
+        control.late = late != 0;
+        char *id = g_strdup_printf ("late%d-%zu", late, i);
+        char *path
+            = g_strdup_printf ("/v1/submit?base=%s&request_id=%s", row->base,
+                               row->id != NULL ? row->id : id);
+        call ("POST", path, BOB, W2, &result);
+        g_free (path);
+        g_free (id);
+        ck_assert_int_eq (result.status, 409);
+        char *code = json_dumps (json_object_get (result.body, "code"),
+                                 JSON_ENCODE_ANY);
+        char *value = json_dumps (json_object_get (result.body, row->member),
+                                  JSON_ENCODE_ANY);
+        ck_assert_str_eq (code, row->code);
+        ck_assert_msg (g_strcmp0 (value, row->value) == 0,
+                       "row %zu, late %d: %s is %s", i, late, row->member,
+                       value);
+        free (code);
+        free (value);
+        http_result_clear (&result);
+      }
+}
+END_TEST
+
 /* ------------------------------------------------------------- not leader */
 
 START_TEST (test_not_leader)
@@ -373,6 +427,7 @@
   tcase_add_test (tcase, test_steps);
   tcase_add_test (tcase, test_keys);
   tcase_add_test (tcase, test_refusals);
+  tcase_add_test (tcase, test_refused_before_its_audit_line);
   tcase_add_test (tcase, test_not_leader);
   tcase_add_test (tcase, test_waiting);
   tcase_add_test (tcase, test_large);
