Control VMs serve from their disks after a loss of power at all VMs

Cause, from the logs of all processes: a member of the log forgets what is committed when it restarts, so its state was empty until a leader was elected (35.1), its record had been committed (35.3) and followers had heard of it (35.4 to 35.5). The declaration stood on every disk all the time. Ruled out: reading the disk (the log is read before the first line), entry VMs that find no control VM (connected at 34.4 to 34.6), the retry time of the callers.

Change: a member notes on disk how far the log is committed, at most every 100 ms and for a twentieth of the disk's time, and applies that much at its start. A control VM that is not current gives this declaration to entry VMs while it reaches a majority and nobody in reach leads; it goes on for 1.5 s after somebody leads, and is current by then. One that starts alone or cut off serves nothing, as before; operators' reads still go through the log.

--- a/src/control/cyx_replica.c
+++ b/src/control/cyx_replica.c
@@ -316,12 +316,14 @@
   struct cyr_initial initial
       = { .term = recovered->term,
           .vote = recovered->vote,
+          .committed = recovered->committed,
           .snapshot_index = recovered->snapshot_index,
           .snapshot_term = recovered->snapshot_term,
           .members = unpack_members (recovered->members),
           .records = (struct cyr_record **)recovered->records->pdata,
           .record_count = recovered->records->len };
   replica->folder = recovered->folder;
+  replica->noted = recovered->committed;
   replica->accepted_set = unpack_members (recovered->founding);
   replica->core
       = cyr_core_create (&options, &initial, cyx_replica_now (replica));
@@ -402,6 +404,7 @@
         request->done (CY_E_NOT_LEADER, 0, request->context);
       request_free (request);
     }
+  cyx_replica_note_commit (replica, true);
   cyx_writer_destroy (replica->writer);
   cyx_peers_destroy (replica->peers);
   cyn_timer_destroy (replica->timer);
--- a/src/control/cyx_replica_private.h
+++ b/src/control/cyx_replica_private.h
@@ -15,6 +15,8 @@
 #define CYX_FOUNDING_MS 200  /* ms between two questions to the peers */
 #define CYX_HOUSE_MS    1000 /* ms between two looks at the disk's room */
 #define CYX_PIECE_BYTES (512 << 10) /* of a snapshot in one message */
+#define CYX_NOTE_MS     100 /* ms at least between two notes of the commit */
+#define CYX_NOTE_PART   20  /* part of the disk's time that they may take */
 
 /* A proposal or a member change that waits for its turn.  */
 struct cyx_request
@@ -61,9 +63,12 @@
   GQueue requests;         /* struct cyx_request */
   GQueue pending;          /* struct cyx_pending by index */
   bool flush_posted;
-  bool destroyed;                   /* freed when the posted flush has run */
-  uint64_t queued;                  /* bytes of records not yet written */
-  uint64_t accepted;                /* bytes of proposals not yet queued */
+  bool destroyed;        /* freed when the posted flush has run */
+  uint64_t noted;        /* committed record that the disk was told of */
+  cy_time_ns note_asked; /* when, 0: the disk has it */
+  cy_time_ns note_due;   /* not before, the next one */
+  uint64_t queued;       /* bytes of records not yet written */
+  uint64_t accepted;     /* bytes of proposals not yet queued */
   struct cyr_members *accepted_set; /* founding set of this folder */
   struct cyr_founding *founding;    /* NULL once there is a log */
   enum cyr_founding_state founding_state;
@@ -82,6 +87,10 @@
                       const struct cyr_event *event);
 void cyx_replica_written (const struct cyx_written *written, void *context);
 
+/* Has the disk note how far the log is committed, so that a restart finds the
+   state before there is a leader; now and then, or LAST: now.  */
+void cyx_replica_note_commit (struct cyx_replica *replica, bool last);
+
 /* Answers everything that is PENDING with RESULT.  */
 void cyx_replica_fail_pending (struct cyx_replica *replica, cy_result result);
 
--- a/src/control/cyx_replica_run.c
+++ b/src/control/cyx_replica_run.c
@@ -322,6 +322,30 @@
                    MAX (left + CY_NS_PER_MS - 1, 0) / CY_NS_PER_MS);
 }
 
+void
+cyx_replica_note_commit (struct cyx_replica *replica, bool last)
+{
+  uint64_t applied = cyr_core_applied (replica->core);
+  cy_time_ns now = cyx_replica_now (replica);
+  bool later = replica->note_asked != 0 || now < replica->note_due;
+  if (applied <= replica->noted || (later && !last))
+    return;
+  struct cyx_job job = { .kind = CYX_JOB_COMMIT, .index = applied };
+  replica->noted = applied;
+  replica->note_asked = now;
+  cyx_writer_add (replica->writer, &job);
+}
+
+static void
+commit_noted (struct cyx_replica *replica)
+{
+  cy_time_ns now = cyx_replica_now (replica);
+  cy_time_ns took = now - replica->note_asked;
+  replica->note_due
+      = now + MAX (CYX_NOTE_MS * CY_NS_PER_MS, CYX_NOTE_PART * took);
+  replica->note_asked = 0;
+}
+
 void
 cyx_replica_run (struct cyx_replica *replica, const struct cyr_event *event)
 {
@@ -342,6 +366,7 @@
                   (int64_t)cyr_core_commit (replica->core));
   cyu_metric_set (replica->foreign_gauge,
                   (int64_t)cyr_core_foreign (replica->core));
+  cyx_replica_note_commit (replica, false);
   follow_view (replica);
   start_timer (replica);
 }
@@ -360,6 +385,8 @@
     }
   if (written->founding)
     cyx_replica_found_stored (replica);
+  if (written->committed != 0)
+    commit_noted (replica);
   if (written->sequence == 0)
     return;
   struct cyr_event event = { .kind = CYR_SYNCED,
--- a/src/control/cyx_writer.c
+++ b/src/control/cyx_writer.c
@@ -69,6 +69,7 @@
     case CYX_JOB_NOTHING:
     case CYX_JOB_STATE:
     case CYX_JOB_TRUNCATE:
+    case CYX_JOB_COMMIT:
     case CYX_JOB_COMPACT:
     case CYX_JOB_PREPARE:
       break;
@@ -103,6 +104,14 @@
   return CY_OK;
 }
 
+static cy_result
+commit (struct cyx_writer *writer, const struct cyx_job *job,
+        struct cyx_written *written)
+{
+  written->committed = job->index;
+  return cyd_store_commit (writer->store, job->index);
+}
+
 static cy_result
 carry_out (struct cyx_writer *writer, const struct cyx_job *job,
            struct cyx_written *written)
@@ -122,6 +131,9 @@
     case CYX_JOB_TRUNCATE:
       result = cyd_store_truncate (writer->store, job->index);
       break;
+    case CYX_JOB_COMMIT:
+      result = commit (writer, job, written);
+      break;
     case CYX_JOB_SAVE:
     case CYX_JOB_INSTALL:
       result = save (writer, job, written);
--- a/src/control/cyx_writer.h
+++ b/src/control/cyx_writer.h
@@ -20,6 +20,7 @@
   CYX_JOB_STATE,
   CYX_JOB_APPEND,
   CYX_JOB_TRUNCATE,
+  CYX_JOB_COMMIT,
   CYX_JOB_SAVE,
   CYX_JOB_INSTALL,
   CYX_JOB_COMPACT,
@@ -55,6 +56,7 @@
   uint64_t sequence;        /* everything up to here, 0: nothing new */
   uint64_t bytes;           /* of records */
   uint64_t failed_snapshot; /* sequence of a snapshot not written, or 0 */
+  uint64_t committed;       /* what CYX_JOB_COMMIT noted, or 0 */
   bool founding;            /* the founding set */
 };
 typedef void (*cyx_written_fn) (const struct cyx_written *written,
--- a/src/core/cyr_core.c
+++ b/src/core/cyr_core.c
@@ -432,8 +432,9 @@
     core->snapshot_members = cyr_members_ref (initial->members);
   for (size_t i = 0; i < initial->record_count; i++)
     cyr_log_append (core->log, cyr_record_ref (initial->records[i]));
-  core->commit = core->applied = core->snapshot_index;
   core->written = core->durable = cyr_log_last (core->log);
+  core->applied = core->snapshot_index;
+  core->commit = MAX (core->applied, MIN (initial->committed, core->durable));
   /* It may have heard a leader just before the restart.  */
   core->leader_heard = now;
   uint64_t extra = cy_random_below (core->options.random, CYR_PRE_VOTE_NS);
--- a/src/core/cyr_core.h
+++ b/src/core/cyr_core.h
@@ -50,6 +50,7 @@
 {
   uint64_t term;
   uint64_t vote;
+  uint64_t committed; /* known to be; the records may end before it */
   uint64_t snapshot_index;
   uint64_t snapshot_term;
   struct cyr_members *members; /* at the snapshot, NULL if none */
--- a/src/hub/cyc_children.c
+++ b/src/hub/cyc_children.c
@@ -115,7 +115,8 @@
   GPtrArray *list = g_ptr_array_new ();
   const struct cyc_peer *peer = NULL;
   const struct cyn_identity *self = hub->options.identity;
-  view->isolated = cyc_links_isolated (hub) || !hub->current || hub->leaving;
+  view->isolated
+      = cyc_links_isolated (hub) || !cyc_hub_serves (hub) || hub->leaving;
   view->majority = !cyc_links_isolated (hub);
   add_control (list, self->name, self->zone, hub->options.region,
                hub->options.host, hub);
@@ -264,7 +265,8 @@
 {
   Cy__HubView view = CY__HUB_VIEW__INIT;
   Cy__Envelope envelope = CY__ENVELOPE__INIT;
-  const Cy__Document *held = hub->current ? cyc_hub_document (hub) : NULL;
+  const Cy__Document *held
+      = cyc_hub_serves (hub) ? cyc_hub_document (hub) : NULL;
   fill_controls (hub, &view, now);
   fill_instances (hub, child, &view, now);
   count_entries (hub, child, &view);
@@ -296,7 +298,8 @@
 {
   cy_time_ns now = cyc_now (hub);
   uint64_t sequence = cyc_register_sequence (hub->reg);
-  const Cy__Document *held = hub->current ? cyc_hub_document (hub) : NULL;
+  const Cy__Document *held
+      = cyc_hub_serves (hub) ? cyc_hub_document (hub) : NULL;
   struct cyc_child *child = NULL;
   CK_LIST_FOREACH (child, &hub->children, entry)
   {
--- a/src/hub/cyc_hub.c
+++ b/src/hub/cyc_hub.c
@@ -1,5 +1,6 @@
 #include "hub/cyc_hub.h"
 
+#include <jansson.h>
 #include <string.h>
 
 #include "base/cyu_log.h"
@@ -123,14 +124,38 @@
   cyn_timer_start (hub->flush, CYC_FLUSH_MS);
 }
 
+bool
+cyc_hub_serves (const struct cyc_hub *hub)
+{
+  return cyc_standing_serves (&hub->standing, cyc_now (hub));
+}
+
+void
+cyc_hub_look (struct cyc_hub *hub)
+{
+  const Cy__Document *held = cyc_hub_document (hub);
+  struct cyc_standing_facts facts = { .has_declaration = held != NULL,
+                                      .isolated = cyc_links_isolated (hub),
+                                      .led = cyc_links_led (hub) };
+  if (!cyc_standing_look (&hub->standing, &facts, cyc_now (hub)))
+    return;
+  cyu_event (CYU_CHANGE, "serves_without_leader", "{sI sI}", "declaration",
+             (json_int_t)held->number, "committed",
+             (json_int_t)cyx_replica_committed (hub->replica));
+  hub->told_anew = true;
+  cyc_hub_changed (hub);
+}
+
 /* True when this VM's standing with the others has changed, which entry VMs
    have to know.  */
 static bool
 standing_changed (struct cyc_hub *hub)
 {
   bool isolated = cyc_links_isolated (hub);
-  bool changed = isolated != hub->was_isolated;
-  if (changed)
+  bool serves = cyc_hub_serves (hub);
+  bool changed = isolated != hub->was_isolated || serves != hub->served;
+  hub->served = serves;
+  if (isolated != hub->was_isolated)
     cyu_log (G_LOG_LEVEL_WARNING, "%s",
              isolated ? "reaches no majority of the control VMs"
                       : "reaches a majority of the control VMs");
@@ -144,12 +169,13 @@
   struct cyc_hub *hub = context;
   cy_time_ns now = cyc_now (hub);
   if (cyx_replica_is_ready (hub->replica))
-    hub->current = true;
+    hub->standing.current = true;
   unsigned gone
       = cyc_register_expire (hub->reg, now, CYC_INSTANCE_MS * CY_NS_PER_MS,
                              CYC_PART_MS * CY_NS_PER_MS);
   if (gone > 0)
     cyc_dispatch_update (hub);
+  cyc_hub_look (hub);
   hub->told_anew = standing_changed (hub);
   cyc_links_beat (hub);
   cyc_join_beat (hub);
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -18,6 +18,7 @@
 
 #include "control/cyx_replica.h"
 #include "core/cyc_register.h"
+#include "core/cyc_standing.h"
 #include "core/cyi_sending.h"
 #include "core/cym_loans.h"
 #include "core/cym_quota.h"
@@ -119,7 +120,7 @@
   GPtrArray *drained;    /* char *, zones */
   GHashTable *undrained; /* zone to cy_time_ns since when */
   struct cyi_document *document;
-  bool current; /* has held all that the leader had, once since the start */
+  struct cyc_standing standing;
 
   struct cyn_listener *listener;
   struct cyn_timer *beat;
@@ -145,6 +146,7 @@
   bool told_anew;           /* every entry VM has to be told */
   GPtrArray *texts; /* struct cyc_text, the newest last; NULL: none yet */
   bool was_isolated;
+  bool served; /* at the last beat */
   bool leaving;
   cyn_fn stopped;
   void *stopped_context;
@@ -179,6 +181,9 @@
 /* True when this VM reaches no majority of the members.  */
 bool cyc_links_isolated (const struct cyc_hub *hub);
 
+/* True when a control VM in reach is the leader and ready.  */
+bool cyc_links_led (const struct cyc_hub *hub);
+
 /* ---- cyc_children.c */
 void cyc_children_open (struct cyc_hub *hub, struct cyn_conn *conn);
 void cyc_children_close (struct cyc_hub *hub, struct cyn_conn *conn);
@@ -242,4 +247,10 @@
 /* Something changed that others have to hear of soon.  */
 void cyc_hub_changed (struct cyc_hub *hub);
 
+/* True when entry VMs may use the declaration that is held here.  */
+bool cyc_hub_serves (const struct cyc_hub *hub);
+
+/* Looks whether the declaration from the disk may be used.  */
+void cyc_hub_look (struct cyc_hub *hub);
+
 #endif /* CYC_INTERNAL_H */
--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -184,6 +184,19 @@
   return voters == 0 || reached < voters / 2 + 1;
 }
 
+bool
+cyc_links_led (const struct cyc_hub *hub)
+{
+  const struct cyc_peer *peer = NULL;
+  cy_time_ns now = cyc_now (hub);
+  CK_LIST_FOREACH (peer, &hub->peers, entry)
+  {
+    if (peer->leads && cyc_peer_is_live (peer, now))
+      return true;
+  }
+  return cyx_replica_is_ready (hub->replica);
+}
+
 /* ------------------------------------------------------------ sending */
 
 /* True when this process heard of it itself and lately.  */
@@ -428,15 +441,16 @@
   peer->sequence = sync->sequence;
   for (size_t i = 0; i < sync->n_known; i++)
     know_peer (hub, sync->known[i]->host);
-  if (sync->leads && !hub->current
+  if (sync->leads && !hub->standing.current
       && cyx_replica_committed (hub->replica) >= sync->committed
       && cyx_replica_leader (hub->replica) == sync->self->member)
     {
-      hub->current = true;
+      hub->standing.current = true;
       cyu_log (G_LOG_LEVEL_INFO, "holds all that leader %s had committed",
                sync->self->vm);
       cyc_hub_changed (hub);
     }
+  cyc_hub_look (hub);
   cyc_lending_take (hub, peer, sync);
   cyc_repeats_take (hub, peer, sync);
   cyc_announce_check (hub);
--- a/src/store/cyd_store.c
+++ b/src/store/cyd_store.c
@@ -124,6 +124,7 @@
     return result;
   recovered->term = cyd_vote_term (store->vote);
   recovered->vote = cyd_vote_for (store->vote);
+  recovered->committed = cyd_vote_committed (store->vote);
   result = cyd_snapshot_load (store->files, store->path, recovered);
   if (result == CY_OK)
     result = load_founding (store, recovered);
@@ -206,6 +207,12 @@
   return cyd_vote_set (store->vote, term, vote);
 }
 
+cy_result
+cyd_store_commit (struct cyd_store *store, uint64_t index)
+{
+  return cyd_vote_commit (store->vote, index);
+}
+
 cy_result
 cyd_store_append (struct cyd_store *store, struct cyr_record **records,
                   size_t count)
--- a/src/store/cyd_store.h
+++ b/src/store/cyd_store.h
@@ -4,7 +4,7 @@
 
      lock        held while the store is open
      identity    cluster, member and folder id
-     vote        term, vote and how far the log was synced
+     vote        term, vote, how far the log was synced and committed
      founding    first member set that this folder accepted
      log-N       records from N on
      spare       the next file of the log, preallocated
@@ -43,6 +43,7 @@
   uint64_t folder;
   uint64_t term;
   uint64_t vote;
+  uint64_t committed;      /* at least; the log may end before it */
   uint64_t snapshot_index; /* 0: no snapshot */
   uint64_t snapshot_term;
   GByteArray *members;  /* packed, of the snapshot; NULL without one */
@@ -70,6 +71,8 @@
 cy_result cyd_store_truncate (struct cyd_store *store,
                               uint64_t index); /* durable */
 cy_result cyd_store_sync (struct cyd_store *store);
+cy_result cyd_store_commit (struct cyd_store *store,
+                            uint64_t index); /* durable */
 cy_result cyd_store_set_founding (struct cyd_store *store,
                                   const uint8_t *bytes,
                                   size_t length); /* durable */
--- a/src/store/cyd_vote.c
+++ b/src/store/cyd_vote.c
@@ -24,6 +24,7 @@
   uint64_t term;
   uint64_t id;
   uint64_t marked;
+  uint64_t committed;
 };
 
 static void
@@ -69,6 +70,25 @@
   return result;
 }
 
+/* The third copy holds both marks in the places of term and vote.  */
+static cy_result
+write_mark (struct cyd_vote *vote)
+{
+  return write_copy (vote, MARK_PLACE, vote->marked, vote->committed);
+}
+
+cy_result
+cyd_vote_commit (struct cyd_vote *vote, uint64_t index)
+{
+  if (index <= vote->committed)
+    return CY_OK;
+  vote->committed = index;
+  cy_result result = write_mark (vote);
+  if (result == CY_OK)
+    result = cyd_sync (vote->files, vote->fd);
+  return result;
+}
+
 cy_result
 cyd_vote_mark (struct cyd_vote *vote, uint64_t index)
 {
@@ -76,7 +96,7 @@
   if (index == vote->marked)
     return CY_OK;
   vote->marked = index;
-  cy_result result = write_copy (vote, MARK_PLACE, index, 0);
+  cy_result result = write_mark (vote);
   if (result == CY_OK && lowered)
     result = cyd_sync (vote->files, vote->fd);
   return result;
@@ -100,7 +120,10 @@
   vote->term = cyd_get_u64 (best + 16);
   vote->id = cyd_get_u64 (best + 24);
   if (is_whole (bytes + MARK_PLACE))
-    vote->marked = cyd_get_u64 (bytes + MARK_PLACE + 16);
+    {
+      vote->marked = cyd_get_u64 (bytes + MARK_PLACE + 16);
+      vote->committed = cyd_get_u64 (bytes + MARK_PLACE + 24);
+    }
   return CY_OK;
 }
 
@@ -201,3 +224,9 @@
 {
   return vote->marked;
 }
+
+uint64_t
+cyd_vote_committed (const struct cyd_vote *vote)
+{
+  return vote->committed;
+}
--- a/src/store/cyd_vote.h
+++ b/src/store/cyd_vote.h
@@ -1,5 +1,5 @@
 /* The file "vote": term and vote of this member, and up to which record the
-   log was synced.
+   log was synced and was known to be committed.
 
    Term and vote stand twice.  A change writes and syncs the first copy, then
    the second, so that one copy is whole at any time and damage to one is
@@ -30,4 +30,9 @@
 cy_result cyd_vote_mark (struct cyd_vote *vote, uint64_t index);
 uint64_t cyd_vote_marked (const struct cyd_vote *vote);
 
+/* The log is committed up to INDEX; durable.  After a power failure it may be
+   too low, never too high.  */
+cy_result cyd_vote_commit (struct cyd_vote *vote, uint64_t index);
+uint64_t cyd_vote_committed (const struct cyd_vote *vote);
+
 #endif /* CYD_VOTE_H */
--- a/tests/replica/test_core.c
+++ b/tests/replica/test_core.c
@@ -156,6 +156,48 @@
 }
 END_TEST
 
+/* How many members come back, and how many of the last records their disks
+   lost.  */
+static const struct
+{
+  size_t back;
+  uint64_t lost;
+} restarts[] = { { 1, 0 }, { 2, 0 }, { 6, 0 }, { 1, 3 }, { 6, 3 } };
+
+/* All members lose power; those that come back know what was noted as
+   committed at once, without a leader, and no more than their log holds.  */
+START_TEST (test_knows_before_leader)
+{
+  world_clear (&world);
+  world_init (&world, 7);
+  world_found (&world, 6);
+  pass (LONG);
+  for (int i = 0; i < 6; i++) /* too few for a snapshot */
+    {
+      propose (leader_but (NULL));
+      pass (100 * CY_NS_PER_MS);
+    }
+  pass (LONG);
+  uint64_t committed = cyr_core_commit (leader_but (NULL)->core);
+  for (size_t i = 0; i < world.count; i++)
+    node_crash (&world, &world.nodes[i]);
+  for (size_t i = 0; i < restarts[_i].back; i++)
+    {
+      struct node *node = &world.nodes[i];
+      disk_cut (&node->disk, committed - restarts[_i].lost + 1);
+      ck_assert_uint_gt (node->disk.committed, committed - 3);
+      node_start (&world, node);
+      struct cyr_event event = { .kind = CYR_TICK };
+      node_step (&world, node, &event);
+      ck_assert_uint_eq (cyr_core_leader (node->core), 0);
+      ck_assert_uint_eq (
+          cyr_core_applied (node->core),
+          MIN (node->disk.committed, committed - restarts[_i].lost));
+      ck_assert_uint_gt (node->state->len, 0);
+    }
+}
+END_TEST
+
 /* A leader that nobody answers steps down, one-way cuts included.  */
 START_TEST (test_check_quorum)
 {
@@ -357,6 +399,8 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_set_timeout (tcase, 120); /* under the thread checker */
   tcase_add_loop_test (tcase, test_return, 0, G_N_ELEMENTS (returns));
+  tcase_add_loop_test (tcase, test_knows_before_leader, 0,
+                       G_N_ELEMENTS (restarts));
   tcase_add_loop_test (tcase, test_check_quorum, 0, 2);
   tcase_add_test (tcase, test_pause);
   tcase_add_test (tcase, test_no_disruption);
--- a/tests/replica/test_replica.c
+++ b/tests/replica/test_replica.c
@@ -88,6 +88,23 @@
 }
 END_TEST
 
+/* One of three comes back alone after a planned stop: there is no leader, and
+   it has applied all that was committed.  */
+START_TEST (test_restart_alone)
+{
+  start_all (MEMBERS);
+  propose_range (MEMBERS, 1, 400);
+  for (size_t i = 0; i < MEMBERS; i++)
+    expect_range (&members[i], 400);
+  for (size_t i = 0; i < MEMBERS; i++)
+    member_stop (&members[i]);
+  member_start (&members[0]);
+  expect_range (&members[0], 400);
+  ck_assert (!member_has_leader (&members[0], 0));
+  stop_all (MEMBERS);
+}
+END_TEST
+
 START_TEST (test_failover)
 {
   start_all (MEMBERS);
@@ -316,6 +333,7 @@
   TCase *tcase = tcase_create ("loopback");
   tcase_set_timeout (tcase, 120);
   tcase_add_test (tcase, test_single);
+  tcase_add_test (tcase, test_restart_alone);
   tcase_add_test (tcase, test_failover);
   tcase_add_test (tcase, test_lost_disk);
   tcase_add_test (tcase, test_snapshot);
--- a/tests/replica/world.h
+++ b/tests/replica/world.h
@@ -31,6 +31,7 @@
   struct cyr_initial initial
       = { .term = node->disk.term,
           .vote = node->disk.vote,
+          .committed = node->disk.committed,
           .snapshot_index = node->disk.snapshot.index,
           .snapshot_term = node->disk.snapshot.term,
           .members = members_of (&node->disk.snapshot),
@@ -68,6 +69,9 @@
 static inline void
 node_crash (struct world *world, struct node *node)
 {
+  /* The notes of what is committed lag behind.  */
+  uint64_t noted = node->applied - node->applied % 3;
+  node->disk.committed = MAX (node->disk.committed, noted);
   guint kept_state = (guint)world_below (world, node->writes->len + 1);
   guint kept_log = (guint)world_below (world, node->writes->len + 1);
   for (guint i = 0; i < node->writes->len; i++)
--- a/tests/replica/world_disk.h
+++ b/tests/replica/world_disk.h
@@ -28,6 +28,7 @@
 {
   uint64_t term;
   uint64_t vote;
+  uint64_t committed; /* as far as it was noted */
   struct image snapshot;
   uint64_t base;      /* index before the first record */
   GPtrArray *records; /* struct cyr_record */
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -262,6 +262,57 @@
 }
 END_TEST
 
+/* What is noted as committed is there after a restart and never goes back.  */
+START_TEST (test_committed)
+{
+  make_folder ();
+  ck_assert_int_eq (open_store (), CY_OK);
+  ck_assert_uint_eq (recovered.committed, 0);
+  ck_assert_int_eq (cyd_store_commit (store, 55), CY_OK);
+  ck_assert_int_eq (cyd_store_commit (store, 50), CY_OK);
+  close_store ();
+  fake_power_cut (&disk, &random_source);
+  ck_assert_int_eq (open_store (), CY_OK);
+  ck_assert_uint_eq (recovered.committed, 55);
+  ck_assert_int_eq (append (61, 70, 3), CY_OK);
+  ck_assert_int_eq (cyd_store_sync (store), CY_OK);
+  ck_assert_int_eq (cyd_store_set_vote (store, 4, 1), CY_OK);
+  close_store ();
+  ck_assert_int_eq (open_store (), CY_OK);
+  ck_assert_uint_eq (recovered.committed, 55);
+  ck_assert_uint_eq (recovered.term, 4);
+  expect_records (70);
+  close_store ();
+}
+END_TEST
+
+/* After a power cut at a random operation nothing counts as committed that
+   was not, and all of it is in the log.  */
+START_TEST (test_committed_power_cut)
+{
+  uint64_t noted = 0;
+  seed = (uint64_t)_i + 1;
+  ck_assert_int_eq (open_store (), CY_OK);
+  disk.left = (int64_t)cy_random_below (&random_source, 250);
+  cy_result result = CY_OK;
+  for (uint64_t last = 3; last < 90 && result == CY_OK; last += 3)
+    {
+      result = append (last - 2, last, 1);
+      if (result == CY_OK)
+        result = cyd_store_sync (store);
+      noted = result == CY_OK ? last : noted;
+      if (result == CY_OK && cy_random_below (&random_source, 2) == 0)
+        result = cyd_store_commit (store, last);
+    }
+  close_store ();
+  fake_power_cut (&disk, &random_source);
+  ck_assert_int_eq (open_store (), CY_OK);
+  ck_assert_uint_le (recovered.committed, noted);
+  ck_assert_uint_le (recovered.committed, recovered_last ());
+  close_store ();
+}
+END_TEST
+
 /* A cut while the folder is made leaves a folder that opens.  */
 START_TEST (test_power_cut_at_birth)
 {
@@ -519,6 +570,8 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, test_round_trip);
+  tcase_add_test (tcase, test_committed);
+  tcase_add_loop_test (tcase, test_committed_power_cut, 0, CUT_SEEDS);
   tcase_add_loop_test (tcase, test_power_cut, 0, CUT_SEEDS);
   tcase_add_loop_test (tcase, test_power_cut_at_birth, 0, 60);
   tcase_add_loop_test (tcase, test_power_cut_in_install, 0, 60);
