The log writes whole lines, several processes may share a pipe

Cause: the log's thread wrote up to the end of its ring, or of what the pipe took, wherever that was in a line. Ruled out: the ring (its lines are whole, test_blocked_output), sampling.

Change: each write is whole lines, at most PIPE_BUF bytes, which a pipe takes in one piece; a longer line goes by itself.

--- a/src/base/cyu_log.c
+++ b/src/base/cyu_log.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <limits.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -113,6 +114,62 @@
   g_free (line);
 }
 
+/* With the lock held: copies whole lines to CHUNK, as many as one write puts
+   into a pipe in one piece, or a single longer one that OUT then owns.  */
+static size_t
+take_lines (char chunk[PIPE_BUF], char **out)
+{
+  size_t whole = 0;
+  size_t length = 0;
+  while (length < ring.used && (length < PIPE_BUF || whole == 0))
+    {
+      char byte = ring.bytes[(ring.head + length) % sizeof ring.bytes];
+      length++;
+      if (byte == '\n')
+        whole = length;
+    }
+  whole = whole > 0 ? whole : length;
+  *out = whole <= PIPE_BUF ? chunk : g_malloc (whole);
+  size_t first = MIN (whole, sizeof ring.bytes - ring.head);
+  memcpy (*out, ring.bytes + ring.head, first);
+  memcpy (*out + first, ring.bytes, whole - first);
+  return whole;
+}
+
+/* Writes all COUNT bytes; a closed output takes no more, what is there is
+   dropped.  */
+static void
+write_all (const char *data, size_t count)
+{
+  size_t done = 0;
+  while (count > 0 && (done = write_some (data, count)) > 0)
+    {
+      data += done;
+      count -= done;
+    }
+}
+
+/* With the lock held, which it gives away while it writes: writes what is
+   there.  Other processes may write to the same pipe, so each write is whole
+   lines.  */
+static void
+write_ring (void)
+{
+  char chunk[PIPE_BUF];
+  while (ring.used > 0)
+    {
+      char *out = NULL;
+      size_t count = take_lines (chunk, &out);
+      g_mutex_unlock (&ring.lock);
+      write_all (out, count);
+      if (out != chunk)
+        g_free (out);
+      g_mutex_lock (&ring.lock);
+      ring.head = (ring.head + count) % sizeof ring.bytes;
+      ring.used -= count;
+    }
+}
+
 static gpointer
 drain (gpointer unused)
 {
@@ -129,15 +186,7 @@
         g_cond_wait_until (&ring.changed, &ring.lock,
                            g_get_monotonic_time ()
                                + GATHER_MS * G_TIME_SPAN_MILLISECOND);
-      const char *data = ring.bytes + ring.head;
-      size_t count = MIN (ring.used, sizeof ring.bytes - ring.head);
-      g_mutex_unlock (&ring.lock);
-      size_t done = write_some (data, count);
-      g_mutex_lock (&ring.lock);
-      /* A closed output takes no more: what is there is dropped.  */
-      done = done == 0 ? count : done;
-      ring.head = (ring.head + done) % sizeof ring.bytes;
-      ring.used -= done;
+      write_ring ();
     }
   ring.ended = TRUE;
   g_cond_broadcast (&ring.changed);
--- a/tests/base/test_log.c
+++ b/tests/base/test_log.c
@@ -4,9 +4,11 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
+#include <limits.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -151,6 +153,40 @@
 }
 END_TEST
 
+/* What is written at once is whole lines, and no more than a pipe takes in one
+   piece: several processes may write to the same one.  A socket that keeps
+   messages apart shows each write.  */
+START_TEST (test_whole_lines)
+{
+  char message[1 << 17];
+  ssize_t got = 0;
+  int writes = 0;
+  ck_assert_int_eq (
+      socketpair (AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0, ends), 0);
+  cyu_log_output (ends[1]);
+  cyu_log_start ("test", "vm-1", TRUE);
+  char *filler = g_strnfill (700, 'x');
+  for (int i = 0; i < 300; i++)
+    cyu_event (CYU_CHANGE, "belief", "{si s+}", "number", i, "filler", filler,
+               i % 2 == 0 ? "" : filler);
+  g_free (filler);
+  int lines = 0;
+  while (lines < 300 && (got = recv (ends[0], message, sizeof message, 0)) > 0)
+    {
+      writes++;
+      ck_assert_int_le (got, PIPE_BUF);
+      ck_assert_int_eq (message[got - 1], '\n');
+      for (ssize_t at = 0; at < got; at++)
+        lines += message[at] == '\n';
+    }
+  ck_assert_int_eq (lines, 300);
+  ck_assert_int_lt (writes, 300);
+  cyu_log_stop (5000);
+  close (ends[0]);
+  close (ends[1]);
+}
+END_TEST
+
 /* Signals that thread TASK of this process blocks.  */
 static uint64_t
 blocked_in (const char *task)
@@ -256,6 +292,7 @@
   tcase_add_test (tcase, test_blocked_output);
   tcase_add_loop_test (tcase, test_flood, 0, G_N_ELEMENTS (floods));
   tcase_add_test (tcase, test_text);
+  tcase_add_test (tcase, test_whole_lines);
   tcase_add_test (tcase, test_signals);
   tcase_add_test (tcase, test_last_line);
   tcase_add_test (tcase, test_closed_output);
