test_signals counts the threads that the log starts, not a checker's

scripts/sanitize.sh thread was red on base/test_log at every run: the checker starts a thread of its own with the program's first one, and the test counted it. A check that is always red hides the next fault.

Change: the test starts and joins a thread first, so that the checker's is there, and compares the process's threads before and after the log starts: exactly one more, which blocks SIGTERM. As strict as before: a second thread of the log, or one that takes signals, fails it.

--- a/tests/base/test_log.c
+++ b/tests/base/test_log.c
@@ -202,23 +202,49 @@
   return mask;
 }
 
+static gpointer
+do_nothing (gpointer unused)
+{
+  return unused;
+}
+
+/* Threads of this process.  */
+static GHashTable *
+tasks_now (void)
+{
+  GHashTable *set
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GDir *tasks = g_dir_open ("/proc/self/task", 0, NULL);
+  const char *task = NULL;
+  while ((task = g_dir_read_name (tasks)) != NULL)
+    g_hash_table_add (set, g_strdup (task));
+  g_dir_close (tasks);
+  return set;
+}
+
 /* A program may block its signals after the log has started: none of them may
    end it by way of the log's thread.  */
 START_TEST (test_signals)
 {
   const uint64_t term = UINT64_C (1) << (SIGTERM - 1);
-  const char *task = NULL;
-  int others = 0;
+  /* A checker starts a thread of its own with the first one.  */
+  g_thread_join (g_thread_new ("first", do_nothing, NULL));
+  GHashTable *before = tasks_now ();
   start (TRUE);
-  GDir *tasks = g_dir_open ("/proc/self/task", 0, NULL);
-  while ((task = g_dir_read_name (tasks)) != NULL)
-    if (atoi (task) != getpid ())
+  GHashTable *after = tasks_now ();
+  int fresh = 0;
+  GHashTableIter iter;
+  gpointer task;
+  g_hash_table_iter_init (&iter, after);
+  while (g_hash_table_iter_next (&iter, &task, NULL))
+    if (!g_hash_table_contains (before, task))
       {
-        others++;
+        fresh++;
         ck_assert (blocked_in (task) & term);
       }
-  g_dir_close (tasks);
-  ck_assert_int_eq (others, 1);
+  ck_assert_int_eq (fresh, 1);
+  g_hash_table_destroy (before);
+  g_hash_table_destroy (after);
   g_free (finish ());
 }
 END_TEST
