cyc_hub_look tells the analyzer that a declaration is there

clang-tidy saw a null pointer behind a result that is only true with a declaration (test_standing, "an empty disk"). No change of what the program does.

--- a/src/hub/cyc_hub.c
+++ b/src/hub/cyc_hub.c
@@ -137,7 +137,8 @@
   struct cyc_standing_facts facts = { .has_declaration = held != NULL,
                                       .isolated = cyc_links_isolated (hub),
                                       .led = cyc_links_led (hub) };
-  if (!cyc_standing_look (&hub->standing, &facts, cyc_now (hub)))
+  if (!cyc_standing_look (&hub->standing, &facts, cyc_now (hub))
+      || held == NULL)
     return;
   cyu_event (CYU_CHANGE, "serves_without_leader", "{sI sI}", "declaration",
              (json_int_t)held->number, "committed",
