Counters come first on a metrics page, and the budget of repeats has its own

Change: counters and gauges are printed before histograms; control VMs count requests, repeats and refused repeats by service and log a budget_spent line, one a second and service at most; entry VMs count retries by service and time the way from a repeat's place to its sending.

test_counters_first fails without the new order. Logic is not changed.

--- a/src/base/cyu_metrics.c
+++ b/src/base/cyu_metrics.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <string.h>
 
 #define BUCKETS                                                               \
@@ -224,15 +225,16 @@
       metric->labels, close, total);
 }
 
-char *
-cyu_metrics_print (void)
+/* Prints the values, or the histograms, with the heads of their names.  */
+static void
+print_all (GString *text, bool histograms)
 {
-  GString *text = g_string_new (NULL);
   const char *last = "";
-  g_mutex_lock (&metrics_lock);
   for (guint i = 0; metrics != NULL && i < metrics->len; i++)
     {
       const struct cyu_metric *metric = g_ptr_array_index (metrics, i);
+      if ((metric->histogram != NULL) != histograms)
+        continue;
       if (strcmp (metric->name, last) != 0)
         g_string_append_printf (text, "# HELP %s %s\n# TYPE %s %s\n",
                                 metric->name, metric->help, metric->name,
@@ -248,6 +250,15 @@
                               metric->labels[0] ? "}" : "",
                               cyu_metric_read (metric));
     }
+}
+
+char *
+cyu_metrics_print (void)
+{
+  GString *text = g_string_new (NULL);
+  g_mutex_lock (&metrics_lock);
+  print_all (text, false);
+  print_all (text, true);
   g_mutex_unlock (&metrics_lock);
   return g_string_free (text, FALSE);
 }
--- a/src/base/cyu_metrics.h
+++ b/src/base/cyu_metrics.h
@@ -38,7 +38,9 @@
                                   const char *help);
 void cyu_metric_time (struct cyu_metric *histogram, int64_t us);
 
-/* Returns every metric as text; the caller frees it with g_free.  */
+/* Returns every metric as text, counters and gauges before the histograms,
+   which are long: collectors may cut a page.  The caller frees it with
+   g_free.  */
 char *cyu_metrics_print (void);
 
 #endif /* CYU_METRICS_H */
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -136,8 +136,7 @@
     {
       const struct cym_service *service = value;
       if (service->repeats.requests + service->repeats.repeats > 0)
-        each (service->name, service->repeats.requests,
-              service->repeats.repeats, context);
+        each (service->name, &service->repeats, context);
     }
 }
 
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -269,8 +269,8 @@
 
 /* Calls EACH for every service with what this matcher counted since its
    start.  */
-typedef void (*cym_count_fn) (const char *service, uint64_t requests,
-                              uint64_t repeats, void *context);
+typedef void (*cym_count_fn) (const char *service,
+                              const struct cym_repeats *counts, void *context);
 void cym_match_each_count (const struct cym_match *match, cym_count_fn each,
                            void *context);
 
--- a/src/core/cym_repeats.c
+++ b/src/core/cym_repeats.c
@@ -122,10 +122,10 @@
 
 /* ------------------------------------------------------------ budget */
 
-bool
-cym_repeats_take (struct cym_repeats *repeats,
-                  const struct cym_repeat_bounds *bounds,
-                  const struct cym_repeat_view *view, cy_time_ns now)
+/* True when the budget has one more.  */
+static bool
+has_one (struct cym_repeats *repeats, const struct cym_repeat_bounds *bounds,
+         const struct cym_repeat_view *view, cy_time_ns now)
 {
   struct sums own;
   struct sums region;
@@ -153,6 +153,19 @@
                        + fixed * view->share)
         return false;
     }
+  return true;
+}
+
+bool
+cym_repeats_take (struct cym_repeats *repeats,
+                  const struct cym_repeat_bounds *bounds,
+                  const struct cym_repeat_view *view, cy_time_ns now)
+{
+  if (!has_one (repeats, bounds, view, now))
+    {
+      repeats->refused++;
+      return false;
+    }
   repeats->of[CYM_REPEATS_OWN].repeats[repeats->slice % CYM_REPEATS_KEPT]++;
   repeats->repeats++;
   return true;
--- a/src/core/cym_repeats.h
+++ b/src/core/cym_repeats.h
@@ -52,6 +52,7 @@
   struct cym_repeat_counts of[CYM_REPEATS_SOURCES];
   uint64_t requests; /* own, since the start */
   uint64_t repeats;
+  uint64_t refused;
   int64_t slice;    /* number of the newest slice since time 0 */
   cy_time_ns since; /* of the first call, 0: none yet */
 };
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -138,6 +138,24 @@
 
 /* ------------------------------------------------------------ ending */
 
+/* Time from having a place to the sending of an attempt that counts as a
+   repeat.  */
+static void
+time_way (const struct cye_request *request)
+{
+  static struct cyu_metric *metric;
+  const struct cye_place *place = &request->place;
+  if (request->shared->layout != CYE_HUB || !place->again
+      || !cye_call_sent (request->call))
+    return;
+  if (metric == NULL)
+    metric = cyu_histogram ("cy_entry_repeat_way_seconds", "",
+                            "time from a repeat's place to its sending");
+  cy_time_ns took
+      = cye_call_sent_at (request->call) - place->asked - place->waited;
+  cyu_metric_time (metric, took / CY_NS_PER_US);
+}
+
 /* How the attempt's end speaks of the backend server.  */
 static enum cym_ending
 ending_of (const struct cye_request *request)
@@ -169,6 +187,7 @@
   if (!request->has_slot)
     return;
   cye_call_times (request->call, &times);
+  time_way (request);
   bool cut = cye_call_sent (request->call)
              && (!cye_call_ended (request->call)
                  || cye_call_result (request->call) != CY_OK);
@@ -192,11 +211,20 @@
 }
 
 static void
-count_retry (const char *labels)
+count_retry (const struct cye_request *request, const char *why)
 {
-  cyu_metric_add (cyu_counter ("cy_entry_retries_total", labels,
-                               "attempts at another backend server"),
+  GString *labels = g_string_new (NULL);
+  GString *rest = g_string_new (NULL);
+  cyu_label (labels, "why", why);
+  cyu_label (labels, "service", request->target.service);
+  cyu_label (rest, "why", why);
+  cyu_label (rest, "service", "others");
+  cyu_metric_add (cyu_counter_bounded ("cy_entry_retries_total", labels->str,
+                                       rest->str,
+                                       "attempts at another backend server"),
                   1);
+  g_string_free (labels, TRUE);
+  g_string_free (rest, TRUE);
 }
 
 /* One line for an attempt that brought no good answer.  */
@@ -265,9 +293,9 @@
   request->sent_before = request->sent_before || sent;
   if (again)
     {
-      count_retry (sent      ? "why=\"idempotent\""
-                   : ran_not ? "why=\"refused\""
-                             : "why=\"not-sent\"");
+      count_retry (request, sent      ? "idempotent"
+                            : ran_not ? "refused"
+                                      : "not-sent");
       cye_admit_slot (request);
       return;
     }
@@ -378,7 +406,7 @@
   if (now - cye_call_sent_at (call) < patience_of (request)
       || !may_retry (request, false))
     return;
-  count_retry ("why=\"silent\"");
+  count_retry (request, "silent");
   request->sent_before = true;
   request->arrived = true;
   request->avoid[0] = '\0';
--- a/src/hub/cyc_hub.c
+++ b/src/hub/cyc_hub.c
@@ -239,6 +239,7 @@
   g_queue_init (&hub->waits);
   cyc_dispatch_create (hub);
   cyc_lending_create (hub);
+  cyc_repeats_create (hub);
   cy_result result = cyc_log_create (hub);
   if (result != CY_OK)
     goto fail;
@@ -278,6 +279,7 @@
   while ((child = CK_LIST_FIRST (&hub->children)) != NULL)
     cyc_children_close (hub, child->conn);
   cyc_lending_destroy (hub);
+  cyc_repeats_destroy (hub);
   cyc_dispatch_destroy (hub);
   if (hub->texts != NULL)
     g_ptr_array_unref (hub->texts);
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -141,6 +141,11 @@
   unsigned entries; /* known in the own region */
   unsigned attached;
 
+  /* cyc_repeats.c */
+  bool hears_all;              /* the placers of all regions */
+  GHashTable *refused_repeats; /* service to uint64_t, as last reported */
+  cy_time_ns reported;
+
   bool flushing;            /* the flush timer runs */
   struct cyn_timer *follow; /* looks at the state once it has settled */
   bool told_anew;           /* every entry VM has to be told */
@@ -234,8 +239,11 @@
 void cyc_repeats_take (struct cyc_hub *hub, struct cyc_peer *peer,
                        const Cy__HubSync *sync);
 
-/* Looks whether the placers of all regions are heard.  */
+/* Looks whether the placers of all regions are heard; once a second it counts
+   what the budgets granted and refused.  */
 void cyc_repeats_beat (struct cyc_hub *hub);
+void cyc_repeats_create (struct cyc_hub *hub);
+void cyc_repeats_destroy (struct cyc_hub *hub);
 
 /* ---- cyc_join.c */
 void cyc_join_beat (struct cyc_hub *hub);
--- a/src/hub/cyc_repeats.c
+++ b/src/hub/cyc_repeats.c
@@ -1,24 +1,29 @@
 /* Tells the other control VMs what this one placed of each service, and hears
    the same from them, so that one budget of repeats holds for the fleet.  */
 
+#include <inttypes.h>
+#include <jansson.h>
 #include <string.h>
 
+#include "base/cyu_log.h"
+#include "base/cyu_metrics.h"
 #include "hub/cyc_internal.h"
 
-#define GAP_MS (4 * CYC_BEAT_MS) /* ms without a word: messages were lost */
+#define GAP_MS  (4 * CYC_BEAT_MS) /* ms without a word: messages were lost */
+#define LINE_MS 1000              /* ms between two log lines of a service */
 
 /* ------------------------------------------------------------ telling */
 
 static void
-add_count (const char *service, uint64_t requests, uint64_t repeats,
+add_count (const char *service, const struct cym_repeats *counts,
            void *context)
 {
   GPtrArray *list = context;
   Cy__PlacedCount *count = g_new (Cy__PlacedCount, 1);
   cy__placed_count__init (count);
   count->service = g_strdup (service);
-  count->requests = requests;
-  count->repeats = repeats;
+  count->requests = counts->requests;
+  count->repeats = counts->repeats;
   g_ptr_array_add (list, count);
 }
 
@@ -95,6 +100,48 @@
   return true;
 }
 
+/* ------------------------------------------------------------ reporting */
+
+static void
+set_metric (const char *service, const char *what, uint64_t value)
+{
+  GString *labels = g_string_new (NULL);
+  GString *rest = g_string_new (NULL);
+  cyu_label (labels, "service", service);
+  cyu_label (labels, "what", what);
+  cyu_label (rest, "service", "others");
+  cyu_label (rest, "what", what);
+  cyu_metric_set (
+      cyu_counter_bounded ("cy_hub_budget_total", labels->str, rest->str,
+                           "Requests, and repeats granted and refused."),
+      (int64_t)value);
+  g_string_free (labels, TRUE);
+  g_string_free (rest, TRUE);
+}
+
+/* One line for a service whose budget refused repeats since the last one.  */
+static void
+report (const char *service, const struct cym_repeats *counts, void *context)
+{
+  struct cyc_hub *hub = context;
+  uint64_t *refused = g_hash_table_lookup (hub->refused_repeats, service);
+  set_metric (service, "request", counts->requests);
+  set_metric (service, "repeat", counts->repeats);
+  set_metric (service, "refused", counts->refused);
+  if (refused == NULL)
+    {
+      refused = g_new0 (uint64_t, 1);
+      g_hash_table_insert (hub->refused_repeats, g_strdup (service), refused);
+    }
+  if (counts->refused == *refused)
+    return;
+  *refused = counts->refused;
+  cyu_event (CYU_CHANGE, "budget_spent", "{ss sI sI sI sb}", "service",
+             service, "requests", (json_int_t)counts->requests, "repeats",
+             (json_int_t)counts->repeats, "refused",
+             (json_int_t)counts->refused, "hears_all", hub->hears_all);
+}
+
 void
 cyc_repeats_beat (struct cyc_hub *hub)
 {
@@ -107,6 +154,25 @@
         && strcmp (peer->region, hub->options.region) != 0)
       regions += is_first_of_region (hub, peer, now);
   }
-  cym_match_hear_all (hub->match,
-                      regions >= cyc_topology_regions (hub->options.topology));
+  hub->hears_all = regions >= cyc_topology_regions (hub->options.topology);
+  cym_match_hear_all (hub->match, hub->hears_all);
+  if (now - hub->reported < LINE_MS * CY_NS_PER_MS)
+    return;
+  hub->reported = now;
+  cym_match_each_count (hub->match, report, hub);
+}
+
+/* ------------------------------------------------------------ life */
+
+void
+cyc_repeats_create (struct cyc_hub *hub)
+{
+  hub->refused_repeats
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+cyc_repeats_destroy (struct cyc_hub *hub)
+{
+  g_hash_table_destroy (hub->refused_repeats);
 }
--- a/tests/base/test_metrics.c
+++ b/tests/base/test_metrics.c
@@ -54,6 +54,22 @@
 }
 END_TEST
 
+/* A collector cuts the page of a VM after some KB: its counters come before
+   the histograms, whatever their names.  */
+START_TEST (test_counters_first)
+{
+  cyu_metric_time (cyu_histogram ("a_seconds", "", "h"), 1000);
+  cyu_metric_add (cyu_counter ("z_total", "", "h"), 1);
+  char *text = cyu_metrics_print ();
+  const char *counter = strstr (text, "z_total 1");
+  const char *histogram = strstr (text, "a_seconds_bucket");
+  ck_assert_ptr_nonnull (counter);
+  ck_assert_ptr_nonnull (histogram);
+  ck_assert (counter < histogram);
+  g_free (text);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -61,6 +77,7 @@
   TCase *tcase = tcase_create ("metrics");
   tcase_add_loop_test (tcase, test_label, 0, G_N_ELEMENTS (labels));
   tcase_add_test (tcase, test_many);
+  tcase_add_test (tcase, test_counters_first);
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
