A request counts once for the budget of repeats, however often it is asked for

Cause: an attempt that could not be sent is placed anew with again=false, as nothing arrived, and a request that waits at a control VM that ends is asked for at the next one. Both were counted as one more request of callers, and a fifth of that was allowed in repeats that nobody asked for.

Change: an entry VM says with each ask whether a control VM was asked for this request before (PlaceAsk.counted); such an ask neither counts as a request nor takes a repeat. A count that is lost with a control VM that had not told it makes the budget smaller, never larger.

--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -9657,7 +9657,7 @@
   (ProtobufCMessageInit) cy__entry_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__place_ask__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cy__place_ask__field_descriptors[20] =
 {
   {
     "number",
@@ -9887,12 +9887,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "counted",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlaceAsk, counted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__place_ask__field_indices_by_name[] = {
   8,   /* field[8] = affinity */
   9,   /* field[9] = again */
   11,   /* field[11] = avoid */
   16,   /* field[16] = born */
+  19,   /* field[19] = counted */
   7,   /* field[7] = deadline_ms */
   6,   /* field[6] = goal_ms */
   14,   /* field[14] = held */
@@ -9912,7 +9925,7 @@
 static const ProtobufCIntRange cy__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cy__place_ask__descriptor =
 {
@@ -9922,7 +9935,7 @@
   "Cy__PlaceAsk",
   "cy",
   sizeof(Cy__PlaceAsk),
-  19,
+  20,
   cy__place_ask__field_descriptors,
   cy__place_ask__field_indices_by_name,
   1,  cy__place_ask__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -1702,10 +1702,14 @@
    * for the log
    */
   char *request_id;
+  /*
+   * a placer was asked for it before
+   */
+  protobuf_c_boolean counted;
 };
 #define CY__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cy__PlaceAnswer
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -247,7 +247,7 @@
                              &view, now))
         return CY_E_RETRY_BUDGET;
     }
-  else
+  else if (!ask->counted)
     cym_repeats_request (&service->repeats, &match->options.bounds.repeats,
                          now);
   ask->from = cym_match_workspace (match, ask->workspace);
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -137,6 +137,7 @@
   cy_time_ns hold;    /* may wait so long even when the goal is lost */
   uint64_t affinity;  /* hash of the object's key, 0: none */
   bool again;         /* an earlier attempt reached a server */
+  bool counted;       /* as a request, by this placer or another one */
   bool metered;       /* takes a token of its workspace */
   char *const *homes; /* regions that may serve it */
   size_t home_count;  /* 0: any may */
--- a/src/entry/cye_hub.h
+++ b/src/entry/cye_hub.h
@@ -96,6 +96,7 @@
   uint64_t number;
   uint64_t born;
   bool placed;
+  bool counted; /* a control VM was asked before */
   cy_time_ns asked;
   struct cym_ask ask; /* placed by this VM itself */
 };
--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -107,6 +107,7 @@
   ask.hold_ms = (uint32_t)(place->hold / CY_NS_PER_MS);
   ask.affinity = place->affinity;
   ask.again = place->again;
+  ask.counted = place->counted;
   ask.metered = place->metered;
   ask.avoid = (char *)place->avoid;
   ask.homes = place->homes;
@@ -269,6 +270,7 @@
   g_hash_table_insert (hub->by_number, &place->number, place);
   TAILQ_INSERT_TAIL (&hub->open, place, entry);
   send_ask (hub, place, false);
+  place->counted = true;
   if (first)
     cyn_timer_start (hub->watch, CYE_WATCH_MS);
   return CY_E_AGAIN;
--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -209,6 +209,7 @@
   job->ask.hold = copy->hold_ms * CY_NS_PER_MS;
   job->ask.affinity = copy->affinity;
   job->ask.again = copy->again;
+  job->ask.counted = copy->counted;
   job->ask.metered = copy->metered;
   job->ask.homes = copy->homes;
   job->ask.home_count = copy->n_homes;
