What a region may repeat does not shrink while a span lasts

Cause: each region had a fifth of its own requests of the window around the span's start, of which half is still to come, and an even part of what the fleet's best window holds beyond. While the window fills, that part shrinks and goes to the regions whose requests did come. Where loads rise and fall in turn, as with callers of three regions, the falling region took its even part in the first seconds of a shed, and the rising ones had theirs later. Ruled out for the timing alone: repeats up to 0.3 s on their way under a steady load pass the test before as well.

Change: a region has what its own requests of the window before the span allow, which is known when the span begins, and an even part of what the fleet's best window holds beyond that, which only grows. Slices are a hundredth of the window; counts that come late (own 0.2 s, others' 0.4 s more) and repeats that arrive up to 0.5 s later are taken at their worst; requests in a word that took longer than two beats are left out.

--- a/src/core/cym_repeats.c
+++ b/src/core/cym_repeats.c
@@ -1,5 +1,6 @@
 #include "core/cym_repeats.h"
 
+#include <math.h>
 #include <sys/param.h>
 
 #define HALF (CYM_REPEATS_SLICES / 2)
@@ -79,10 +80,10 @@
   uint32_t repeats[CYM_REPEATS_KEPT + 1];
 };
 
-/* Sums up the sources from CYM_REPEATS_OWN to LAST.  */
+/* Sums up the sources from FROM to LAST.  */
 static void
-sum_up (const struct cym_repeats *repeats, enum cym_repeats_source last,
-        struct sums *sums)
+sum_up (const struct cym_repeats *repeats, enum cym_repeats_source from,
+        enum cym_repeats_source last, struct sums *sums)
 {
   sums->requests[0] = 0;
   sums->repeats[0] = 0;
@@ -91,7 +92,7 @@
       int64_t at = (repeats->slice - i) % CYM_REPEATS_KEPT;
       uint32_t requests = 0;
       uint32_t taken = 0;
-      for (int source = 0; source <= (int)last; source++)
+      for (int source = (int)from; source <= (int)last; source++)
         {
           requests += repeats->of[source].requests[at];
           taken += repeats->of[source].repeats[at];
@@ -101,56 +102,110 @@
     }
 }
 
-/* Requests of the window around the start of the span that began in the
-   COUNTth newest slice, as far as they have come in.  */
+/* Requests in the slices from FROM to the one before TO, numbered from the
+   newest, which is 0, into the past; those below 0 are still to come.  */
 static uint32_t
-asked_around (const struct sums *sums, int count)
+asked_between (const struct sums *sums, int to, int from)
 {
-  return sums->requests[count - 1 + HALF]
-         - sums->requests[count > HALF ? count - HALF : 0];
+  return sums->requests[MAX (from + 1, 0)] - sums->requests[MAX (to + 1, 0)];
 }
 
-/* The most of that window, the one of the span itself and the one before.  */
-static uint32_t
-asked_most (const struct sums *sums, int count)
+/* Requests near a moment in slice AT, without the slices that a window holds
+   in part: of the window around it, the one that follows and the one before.
+ */
+struct asked
+{
+  double around;
+  double since;
+  double before;
+};
+
+static struct asked
+asked_near (const struct sums *sums, int at)
 {
-  uint32_t before
-      = sums->requests[count - 1 + CYM_REPEATS_SLICES] - sums->requests[count];
-  uint32_t most = MAX (sums->requests[count - 1], before);
-  return MAX (most, asked_around (sums, count));
+  return (struct asked){
+    .around = asked_between (sums, at - HALF, at + HALF - 1),
+    .since = asked_between (sums, at - CYM_REPEATS_SLICES, at - 1),
+    .before = asked_between (sums, at, at + CYM_REPEATS_SLICES - 1),
+  };
 }
 
 /* ------------------------------------------------------------ budget */
 
-/* True when the budget has one more.  */
-static bool
-has_one (struct cym_repeats *repeats, const struct cym_repeat_bounds *bounds,
-         const struct cym_repeat_view *view, cy_time_ns now)
+/* MS in slices, rounded up; at most what is kept allows for.  */
+static int
+slices_of (const struct cym_repeat_bounds *bounds, int64_t ms)
+{
+  cy_time_ns slice = bounds->window / CYM_REPEATS_SLICES;
+  int64_t count = (ms * CY_NS_PER_MS + slice - 1) / slice;
+  return (int)MIN (count, CYM_REPEATS_MARGIN);
+}
+
+/* Requests that a region's repeats are held against: its OWN of the window
+   before, which no longer change, and an even part of what the best window of
+   the fleet holds beyond, which only grows.  */
+static double
+asked_for (const struct asked *own, const struct asked *others,
+           unsigned regions)
+{
+  double before = own->before + others->before;
+  double best
+      = fmax (own->around + others->around, own->since + others->since);
+  return own->before + fmax (best - before, 0) / MAX (regions, 1);
+}
+
+/* The same for a window from slice AT on, at the least: counts of callers of
+   this region came up to LATE slices late, those of the others, which are NULL
+   if not all are heard, up to LATE and TOLD.  */
+static double
+asked_least (const struct sums *own, const struct sums *others,
+             unsigned regions, int at, int late, int told)
+{
+  const struct asked mine[]
+      = { asked_near (own, at), asked_near (own, at - late) };
+  if (others == NULL)
+    return fmin (mine[0].before, mine[1].before);
+  const struct asked theirs[]
+      = { asked_near (others, at), asked_near (others, at - late - told) };
+  double least = INFINITY;
+  for (int i = 0; i < 4; i++)
+    least = fmin (least, asked_for (&mine[i / 2], &theirs[i % 2], regions));
+  return least;
+}
+
+bool
+cym_repeats_has (struct cym_repeats *repeats,
+                 const struct cym_repeat_bounds *bounds,
+                 const struct cym_repeat_view *view, uint32_t count,
+                 cy_time_ns now)
 {
   struct sums own;
   struct sums region;
-  struct sums fleet;
+  struct sums others;
+  const int way = slices_of (bounds, CYM_REPEATS_WAY_MS);
+  const int late = slices_of (bounds, CYM_REPEATS_LATE_MS);
+  const int told = slices_of (bounds, CYM_REPEATS_TOLD_MS);
   turn (repeats, bounds, now);
-  sum_up (repeats, CYM_REPEATS_OWN, &own);
-  sum_up (repeats, CYM_REPEATS_REGION, &region);
-  sum_up (repeats, CYM_REPEATS_ELSEWHERE, &fleet);
+  sum_up (repeats, CYM_REPEATS_OWN, CYM_REPEATS_OWN, &own);
+  sum_up (repeats, CYM_REPEATS_OWN, CYM_REPEATS_REGION, &region);
+  sum_up (repeats, CYM_REPEATS_ELSEWHERE, CYM_REPEATS_ELSEWHERE, &others);
   /* Before it has listened for a window, others may have spent the fixed
      part.  */
   double fixed = now - repeats->since < bounds->window ? 0 : bounds->fixed;
-  for (int count = 1; count <= CYM_REPEATS_SLICES + 1; count++)
+  /* What was taken from slice FIRST on may arrive from slice AT on.  */
+  for (int first = 0; first <= CYM_REPEATS_SLICES + way; first++)
     {
-      double asked = asked_around (&region, count);
-      if (view->all)
-        asked += (double)(asked_most (&fleet, count)
-                          - asked_around (&fleet, count))
-                 / MAX (bounds->regions, 1);
-      if (region.repeats[count] + 1 > asked * bounds->ratio + fixed)
+      int at = first - way;
+      double asked = asked_least (&region, view->all ? &others : NULL,
+                                  bounds->regions, at, late, told);
+      if (region.repeats[first + 1] + count > asked * bounds->ratio + fixed)
         return false;
+      if (view->share >= 1)
+        continue;
       /* Other placers of the region may take at the same moment.  */
-      if (view->share < 1
-          && own.repeats[count] + 1
-                 > asked_around (&own, count) * bounds->ratio
-                       + fixed * view->share)
+      asked = asked_least (&own, NULL, 1, at, late, told);
+      if (own.repeats[first + 1] + count
+          > asked * bounds->ratio + fixed * view->share)
         return false;
     }
   return true;
@@ -161,11 +216,8 @@
                   const struct cym_repeat_bounds *bounds,
                   const struct cym_repeat_view *view, cy_time_ns now)
 {
-  if (!has_one (repeats, bounds, view, now))
-    {
-      repeats->refused++;
-      return false;
-    }
+  if (!cym_repeats_has (repeats, bounds, view, 1, now))
+    return false;
   repeats->of[CYM_REPEATS_OWN].repeats[repeats->slice % CYM_REPEATS_KEPT]++;
   repeats->repeats++;
   return true;
--- a/src/core/cym_repeats.h
+++ b/src/core/cym_repeats.h
@@ -1,16 +1,21 @@
 /* Budget of repeats: requests that are sent to a second backend server, as a
    share of the requests of the service in a window and a fixed part besides.
-   It binds the sum over all placers, for every span of a window's length,
-   wherever it begins, against the requests of that span, the one before it or
-   the one half a window before it: when a repeat is allowed nobody knows
-   whether requests will go on.
-
-   Each region has what its own requests of the window around the span's start
-   allow.  These add up to that window of the fleet, however the requests are
-   split and whenever placers move.  What the fleet's best window allows beyond
-   is split evenly, by the counts that the placers tell each other; with the
-   best window of each region instead, regions whose loads rise and fall in
-   turn would sum to more than the fleet's.  Pure, one thread at a time.  */
+   It binds what reaches servers from all placers, in every span of a window's
+   length, wherever it begins, against the requests of that span, the one
+   before it or the one half a window before it: when a repeat is allowed
+   nobody knows whether requests will go on.
+
+   Each region has what its own requests of the window before the span allow.
+   These add up to that window of the fleet, however the requests are split and
+   whenever placers move, and are known when the span begins.  What the fleet's
+   best window allows beyond is split evenly, by the counts that the placers
+   tell each other.  Neither part shrinks while the span lasts: what a region
+   took early is never owed to another one later.
+
+   Counts are of the moment at which a placer hears of a request or grants a
+   repeat.  Requests were sent up to CYM_REPEATS_LAG_MS before, repeats arrive
+   up to CYM_REPEATS_WAY_MS later: each window is taken at its worst within
+   these bounds.  Pure, one thread at a time.  */
 
 #ifndef CYM_REPEATS_H
 #define CYM_REPEATS_H
@@ -20,8 +25,20 @@
 
 #include "core/cy_clock.h"
 
-#define CYM_REPEATS_SLICES 20                           /* of the window */
-#define CYM_REPEATS_KEPT   (2 * CYM_REPEATS_SLICES + 1) /* slices */
+#define CYM_REPEATS_SLICES 100 /* of the window */
+#define CYM_REPEATS_MARGIN                                                    \
+  25 /* slices at most for each of the bounds below                           \
+      */
+#define CYM_REPEATS_KEPT (2 * CYM_REPEATS_SLICES + CYM_REPEATS_MARGIN)
+
+/* ms from a caller's request until its placer has counted it, and until the
+   placers of other regions have heard of that.  */
+#define CYM_REPEATS_LATE_MS 200
+#define CYM_REPEATS_TOLD_MS 400
+
+/* ms from the grant of a repeat until it reaches its server.  An entry VM that
+   can't send it in time gives it up, see CYE_REPEAT_MS.  */
+#define CYM_REPEATS_WAY_MS 500
 
 /* How many repeats are allowed.  */
 struct cym_repeat_bounds
@@ -52,7 +69,7 @@
   struct cym_repeat_counts of[CYM_REPEATS_SOURCES];
   uint64_t requests; /* own, since the start */
   uint64_t repeats;
-  uint64_t refused;
+  uint64_t refused; /* for its owner to count */
   int64_t slice;    /* number of the newest slice since time 0 */
   cy_time_ns since; /* of the first call, 0: none yet */
 };
@@ -96,7 +113,13 @@
 void cym_repeats_news (struct cym_repeats_told *told, cy_time_ns gap,
                        uint64_t *requests, uint64_t *repeats, cy_time_ns now);
 
-/* Takes one repeat; false when the budget is spent.  */
+/* True when the budget has COUNT more repeats.  */
+bool cym_repeats_has (struct cym_repeats *repeats,
+                      const struct cym_repeat_bounds *bounds,
+                      const struct cym_repeat_view *view, uint32_t count,
+                      cy_time_ns now);
+
+/* Takes one repeat, which is sent now; false when the budget is spent.  */
 bool cym_repeats_take (struct cym_repeats *repeats,
                        const struct cym_repeat_bounds *bounds,
                        const struct cym_repeat_view *view, cy_time_ns now);
--- a/src/hub/cyc_repeats.c
+++ b/src/hub/cyc_repeats.c
@@ -9,7 +9,7 @@
 #include "base/cyu_metrics.h"
 #include "hub/cyc_internal.h"
 
-#define GAP_MS  (4 * CYC_BEAT_MS) /* ms without a word: messages were lost */
+#define GAP_MS  (2 * CYC_BEAT_MS) /* ms without a word: messages were lost */
 #define LINE_MS 1000              /* ms between two log lines of a service */
 
 /* ------------------------------------------------------------ telling */
