A repeat counts when it is placed, and is sent soon after or not at all

Cause: the budget binds a window of arrivals, but a repeat was counted when its request asked for a place. One that was given up while it waited kept its part of the budget.

Change: a repeat takes its part as it gets its slot; while it waits, the budget only keeps one for it. An entry VM does not send a repeat more than 400 ms after it was placed; with the way to the server that stays within the 500 ms which the budget allows for. Such an attempt is counted as too-late and says nothing of the server.

--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -44,6 +44,7 @@
   double cold_per_s;
   uint32_t cold_ms;
   struct cym_repeats repeats;
+  uint32_t repeats_waiting; /* of WAITING_COUNT */
   double busy;       /* requests that own servers may serve, at any server */
   double refused;    /* slots that refused ones of these lacked */
   GHashTable *homes; /* region to struct cym_home */
@@ -209,8 +210,9 @@
 struct cym_served *cym_match_workspace (struct cym_match *match,
                                         const char *workspace);
 
-/* Places ASK at SERVER; false when its workspace has no token.  */
-bool cym_place (struct cym_match *match, struct cym_ask *ask,
-                struct cym_server *server, cy_time_ns now);
+/* Places ASK at SERVER.  CY_E_RATE_EXCEEDED: its workspace has no token.
+   CY_E_RETRY_BUDGET: it is a repeat, and the budget is spent.  */
+cy_result cym_place (struct cym_match *match, struct cym_ask *ask,
+                     struct cym_server *server, cy_time_ns now);
 
 #endif /* CYM_INTERNAL_H */
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -142,14 +142,56 @@
 
 /* ------------------------------------------------------------ placing */
 
-bool
+static cy_result
+refuse_token (struct cym_match *match, struct cym_ask *ask, cy_time_ns now)
+{
+  ask->retry_after_ms = match->options.token_wait_ms (match->options.context,
+                                                      ask->workspace, now);
+  return CY_E_RATE_EXCEEDED;
+}
+
+static struct cym_repeat_view
+view_of (const struct cym_match *match)
+{
+  return (struct cym_repeat_view){ match->share, match->hears_all };
+}
+
+/* Whether the budget has one more repeat, for ASK, than those that wait.  */
+static bool
+has_repeat (struct cym_match *match, const struct cym_ask *ask, cy_time_ns now)
+{
+  struct cym_service *service = ask->at;
+  const struct cym_repeat_view view = view_of (match);
+  return cym_repeats_has (&service->repeats, &match->options.bounds.repeats,
+                          &view, service->repeats_waiting + 1, now);
+}
+
+static bool
+take_repeat (struct cym_match *match, const struct cym_ask *ask,
+             cy_time_ns now)
+{
+  const struct cym_repeat_view view = view_of (match);
+  return cym_repeats_take (&ask->at->repeats, &match->options.bounds.repeats,
+                           &view, now);
+}
+
+static cy_result
+refuse_repeat (struct cym_ask *ask)
+{
+  ask->at->repeats.refused++;
+  return CY_E_RETRY_BUDGET;
+}
+
+cy_result
 cym_place (struct cym_match *match, struct cym_ask *ask,
            struct cym_server *server, cy_time_ns now)
 {
+  if (ask->again && !take_repeat (match, ask, now))
+    return refuse_repeat (ask);
   if (ask->metered
       && !match->options.take_token (match->options.context, ask->workspace,
                                      now))
-    return false;
+    return refuse_token (match, ask, now);
   if (server->cold_until > now)
     server->cold_tokens -= 1;
   server->in_flight++;
@@ -169,15 +211,7 @@
   match->all.placed += 1;
   ask->from->placed += 1;
   cym_warm_note (server, ask->affinity);
-  return true;
-}
-
-static cy_result
-refuse_token (struct cym_match *match, struct cym_ask *ask, cy_time_ns now)
-{
-  ask->retry_after_ms = match->options.token_wait_ms (match->options.context,
-                                                      ask->workspace, now);
-  return CY_E_RATE_EXCEEDED;
+  return CY_OK;
 }
 
 /* Gives the free slots of SERVER to those that wait.  */
@@ -190,8 +224,7 @@
          && (ask = cym_wait_next (match, server, now)) != NULL)
     {
       cym_wait_leave (ask);
-      bool placed = cym_place (match, ask, server, now);
-      ask->answered (ask, placed ? CY_OK : refuse_token (match, ask, now));
+      ask->answered (ask, cym_place (match, ask, server, now));
     }
 }
 
@@ -240,14 +273,9 @@
   ask->prefers = NULL;
   ask->away = is_away (match, ask);
   cym_demand_measure (service, now);
-  if (ask->again)
-    {
-      struct cym_repeat_view view = { match->share, match->hears_all };
-      if (!cym_repeats_take (&service->repeats, &match->options.bounds.repeats,
-                             &view, now))
-        return CY_E_RETRY_BUDGET;
-    }
-  else if (!ask->counted)
+  if (ask->again && !has_repeat (match, ask, now))
+    return refuse_repeat (ask);
+  if (!ask->again && !ask->counted)
     cym_repeats_request (&service->repeats, &match->options.bounds.repeats,
                          now);
   ask->from = cym_match_workspace (match, ask->workspace);
@@ -269,8 +297,7 @@
     }
   if (server == NULL)
     return refuse_room (match, ask, waits, now);
-  return cym_place (match, ask, server, now) ? CY_OK
-                                             : refuse_token (match, ask, now);
+  return cym_place (match, ask, server, now);
 }
 
 void
@@ -358,8 +385,7 @@
       struct cym_server *server = choose_last (match, ask, now);
       if (server != NULL)
         {
-          bool placed = cym_place (match, ask, server, now);
-          ask->answered (ask, placed ? CY_OK : refuse_token (match, ask, now));
+          ask->answered (ask, cym_place (match, ask, server, now));
           continue;
         }
       ask->waited = now - ask->since;
--- a/src/core/cym_wait.c
+++ b/src/core/cym_wait.c
@@ -216,6 +216,7 @@
   ask->from->waiting += ask->metered;
   TAILQ_INSERT_TAIL (&ask->at->waiting, ask, entry);
   ask->at->waiting_count++;
+  ask->at->repeats_waiting += ask->again;
 }
 
 cy_result
@@ -273,4 +274,5 @@
   ask->from->waiting -= ask->metered;
   TAILQ_REMOVE (&ask->at->waiting, ask, entry);
   ask->at->waiting_count--;
+  ask->at->repeats_waiting -= ask->again;
 }
--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -20,6 +20,7 @@
   size_t head_bytes;
   struct cye_bytes body;
   bool connected_anew;
+  bool expired;
   int sends;
   cy_time_ns sent;
   cy_time_ns first;
@@ -95,10 +96,14 @@
   (void)port;
   (void)local_port;
   struct cye_call *call = context;
+  cy_time_ns now = cy_clock_now (call->options.clock);
   if (call->sends > 0)
     return CURL_PREREQFUNC_ABORT;
+  call->expired = call->options.send_by != 0 && now > call->options.send_by;
+  if (call->expired)
+    return CURL_PREREQFUNC_ABORT;
   call->sends++;
-  call->sent = cy_clock_now (call->options.clock);
+  call->sent = now;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -413,6 +418,12 @@
   return call->sends > 0;
 }
 
+bool
+cye_call_expired (const struct cye_call *call)
+{
+  return call->expired;
+}
+
 bool
 cye_call_reused (const struct cye_call *call)
 {
--- a/src/entry/cye_call.h
+++ b/src/entry/cye_call.h
@@ -66,6 +66,7 @@
   bool keep;          /* the connection may be kept */
   cy_time_ns suspect; /* see struct cye_ticket */
   int64_t timeout_ms;
+  cy_time_ns send_by; /* it is not sent after this moment, 0: at any time */
   const struct cy_clock *clock;
   /* Something came or the call ended; called from inside libcurl, so that it
      only notes CONTEXT for later.  */
@@ -109,6 +110,9 @@
 /* True when a byte of the request may have reached the backend server.  */
 bool cye_call_sent (const struct cye_call *call);
 
+/* True when it was not sent as it was too late for that.  */
+bool cye_call_expired (const struct cye_call *call);
+
 /* True when it went out on a kept connection.  */
 bool cye_call_reused (const struct cye_call *call);
 
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -10,10 +10,11 @@
 #include "base/cyu_metrics.h"
 #include "entry/cye_patience.h"
 
-#define CYE_ATTEMPTS_MAX 4 /* backend servers that one request tries */
-#define CYE_LAST_MS      2 /* ms left below which no attempt starts */
-#define CYE_KEPT_HUB_S   7 /* s that a kept connection may have been idle */
-#define CYE_KEPT_ONCE_S  2 /* the same for what may not be sent twice */
+#define CYE_ATTEMPTS_MAX 4   /* backend servers that one request tries */
+#define CYE_LAST_MS      2   /* ms left below which no attempt starts */
+#define CYE_REPEAT_MS    400 /* ms that the grant of a repeat holds */
+#define CYE_KEPT_HUB_S   7   /* s that a kept connection may have been idle */
+#define CYE_KEPT_ONCE_S  2   /* the same for what may not be sent twice */
 
 /* ------------------------------------------------------------ starting */
 
@@ -97,6 +98,18 @@
   return request->idempotent ? CYE_KEPT_MAX_S : CYE_KEPT_PROOF_S;
 }
 
+/* Until when the attempt may be sent: a repeat counts where it was granted,
+   and would arrive in another window of the budget later.  */
+static cy_time_ns
+send_by (const struct cye_request *request)
+{
+  const struct cye_place *place = &request->place;
+  if (request->shared->layout != CYE_HUB || !place->again
+      || place->placer != CYE_CONTROL_VM)
+    return 0;
+  return place->granted + CYE_REPEAT_MS * CY_NS_PER_MS;
+}
+
 void
 cye_forward_start (struct cye_request *request)
 {
@@ -128,6 +141,7 @@
     .keep = ticket->keep,
     .suspect = ticket->suspect,
     .timeout_ms = left_ms,
+    .send_by = send_by (request),
     .clock = request->shared->clock,
     .on_change = on_change,
     .accepts = accepts,
@@ -168,6 +182,8 @@
   if (result == CY_OK)
     return cye_call_head (call)->status >= 500 ? CYM_ERROR : CYM_ANSWERED;
   cye_call_times (call, &times);
+  if (cye_call_expired (call))
+    return CYM_CANCELLED;
   if (!cye_call_sent (call))
     return CYM_UNREACHABLE;
   if (cye_call_reused (call) && times.first == 0)
@@ -285,6 +301,7 @@
 fail_or_retry (struct cye_request *request, cy_result result, bool ran_not)
 {
   bool sent = cye_call_sent (request->call) && !ran_not;
+  bool expired = cye_call_expired (request->call);
   bool again = may_retry (request, ran_not);
   log_attempt (request, result, again, ran_not);
   request->arrived = request->arrived || cye_call_sent (request->call);
@@ -295,6 +312,7 @@
     {
       count_retry (request, sent      ? "idempotent"
                             : ran_not ? "refused"
+                            : expired ? "too-late"
                                       : "not-sent");
       cye_admit_slot (request);
       return;
--- a/src/entry/cye_hub.h
+++ b/src/entry/cye_hub.h
@@ -84,6 +84,7 @@
   uint16_t port;
   char zone[CYM_NAME_MAX];
   cy_time_ns usual;   /* time that an answer is expected to take, 0: unknown */
+  cy_time_ns granted; /* not before this moment */
   cy_time_ns suspect; /* connections idle since before are suspect, 0: none */
   /* Set with any end.  */
   cy_time_ns waited;
--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -178,6 +178,7 @@
       place->port = (uint16_t)answer->port;
       place->born = answer->born;
       place->usual = (cy_time_ns)answer->usual_us * CY_NS_PER_US;
+      place->granted = place->asked + answer->waited_ms * CY_NS_PER_MS;
       fill_suspect (hub, place);
     }
   else
--- a/tests/match/test_match.c
+++ b/tests/match/test_match.c
@@ -433,6 +433,60 @@
 }
 END_TEST
 
+static void
+note_answer (struct cym_ask *ask, cy_result result)
+{
+  *(cy_result *)ask->owner = result;
+}
+
+static struct cym_ask
+new_ask (bool again, cy_result *result)
+{
+  return (struct cym_ask){ .service = "s",
+                           .route = "r",
+                           .workspace = "w",
+                           .zone = "a",
+                           .again = again,
+                           .goal_at = world.now + 2000 * WORLD_MS,
+                           .deadline_at = world.now + 4000 * WORLD_MS,
+                           .answered = note_answer,
+                           .owner = result };
+}
+
+/* Guards against repeats that are counted as they begin to wait for a slot:
+   they arrive in another window, and one that is given up keeps its part of
+   the budget.  Of one repeat that the budget has, a waiting one is sure.  */
+START_TEST (test_repeat_counts_when_placed)
+{
+  cy_result results[8] = { CY_OK };
+  struct cym_ask asks[8];
+  struct cym_load load = { 0 };
+  world_start ();
+  world_servers (1, 5, 0, 0);
+  for (unsigned i = 0; i < 5; i++)
+    {
+      asks[i] = new_ask (false, &results[i]);
+      ck_assert_int_eq (cym_match_ask (world.match, &asks[i], world.now),
+                        CY_OK);
+    }
+  world.now += 1000 * WORLD_MS;
+  for (unsigned i = 5; i < 8; i++)
+    asks[i] = new_ask (true, &results[i]);
+  ck_assert_int_eq (cym_match_ask (world.match, &asks[5], world.now),
+                    CY_E_AGAIN);
+  ck_assert_int_eq (cym_match_ask (world.match, &asks[6], world.now),
+                    CY_E_RETRY_BUDGET);
+  cym_match_cancel (world.match, &asks[5]);
+  ck_assert_int_eq (cym_match_ask (world.match, &asks[7], world.now),
+                    CY_E_AGAIN);
+  results[7] = CY_E_AGAIN;
+  cym_match_done (world.match, &asks[0], CYM_ANSWERED, WORLD_MS, &load,
+                  world.now);
+  ck_assert_int_eq (results[7], CY_OK);
+  world_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -443,6 +497,7 @@
   tcase_add_test (rules, test_cold_rate);
   tcase_add_test (rules, test_draining_gets_nothing);
   tcase_add_test (rules, test_repeats_bound);
+  tcase_add_test (rules, test_repeat_counts_when_placed);
   suite_add_tcase (suite, rules);
   TCase *patterns = tcase_create ("patterns");
   tcase_set_timeout (patterns, 60);
