A refusal counts only for the attempt that it answers

Other operators saw callers that were told 'not run, try again' for requests that a server had run or was running (REFUSED, TWICE): a faulty server writes an earlier refusal once more on a kept connection.

It can happen here, in both layouts. Hub: all attempts of a request carry the caller's id, and a request that a server refused may be offered to it again, on the same kept connection; the earlier refusal has the right id.

Change: an attempt at an address that the request was sent to before opens a new connection.

--- a/src/backend/cyk_serve.c
+++ b/src/backend/cyk_serve.c
@@ -1,8 +1,10 @@
 #include "backend/cyk_serve.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,6 +12,7 @@
 #include <xxhash.h>
 
 #include "base/cy_system.h"
+#include "base/cyu_log.h"
 #include "http/cyh_server.h"
 
 #define CYK_CONNECTION_MEMORY 32768 /* bytes */
@@ -23,7 +26,8 @@
   struct cyk_options options;
   struct cyh_server *server;
   struct cyn_timer *check;
-  GHashTable *open; /* struct run, suspended */
+  GHashTable *open;    /* struct run, suspended */
+  GHashTable *refused; /* caller's port to the id of its refused request */
   int64_t in_flight;
   cy_time_ns started;
   bool stopping;
@@ -62,6 +66,7 @@
   { "late", CYK_LATE },
   { "shed", CYK_SHED },
   { "echo-key", CYK_ECHO_KEY },
+  { "refusal-twice", CYK_REFUSAL_TWICE },
 };
 
 bool
@@ -207,6 +212,15 @@
   return g_string_free (body, FALSE);
 }
 
+/* Names the request in its answer.  */
+static void
+echo_id (struct run *run, struct MHD_Response *response)
+{
+  const char *id = header_of (run, "Cy-Request-Id");
+  if (id[0] != '\0')
+    MHD_add_response_header (response, "Cy-Request-Id", id);
+}
+
 static enum MHD_Result
 send_answer (struct run *run, const char *method)
 {
@@ -229,9 +243,7 @@
         length, body, g_free);
   MHD_add_response_header (response, "X-Content-Digest", digest);
   MHD_add_response_header (response, "Content-Type", "text/plain");
-  if (header_of (run, "Cy-Request-Id")[0] != '\0')
-    MHD_add_response_header (response, "Cy-Request-Id",
-                             header_of (run, "Cy-Request-Id"));
+  echo_id (run, response);
   unsigned status = MHD_HTTP_OK;
   if (run->fault == CYK_ECHO_KEY)
     {
@@ -251,6 +263,7 @@
   struct MHD_Response *response = MHD_create_response_from_buffer (
       5, (void *)"busy\n", MHD_RESPMEM_PERSISTENT);
   MHD_add_response_header (response, "Cy-Not-Run", "1");
+  echo_id (run, response);
   enum MHD_Result result = MHD_queue_response (
       run->connection, MHD_HTTP_SERVICE_UNAVAILABLE, response);
   MHD_destroy_response (response);
@@ -270,6 +283,37 @@
                 sizeof linger);
 }
 
+/* CYK_REFUSAL_TWICE: true for the first request of a connection, which is to
+   be refused.  Before the second one runs its refusal goes out once more.  */
+static bool
+refuses_first (struct run *run)
+{
+  const union MHD_ConnectionInfo *caller = MHD_get_connection_info (
+      run->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      run->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  const struct sockaddr_in *address = (const void *)caller->client_addr;
+  gpointer port = GUINT_TO_POINTER (address->sin_port);
+  GHashTable *refused = run->serve->refused;
+  char *id = NULL;
+  if (!g_hash_table_steal_extended (refused, port, NULL, (gpointer *)&id))
+    {
+      g_hash_table_insert (refused, port,
+                           g_strdup (header_of (run, "Cy-Request-Id")));
+      return true;
+    }
+  char *text = g_strdup_printf ("HTTP/1.1 503 Service Unavailable\r\n"
+                                "Cy-Not-Run: 1\r\nCy-Request-Id: %s\r\n"
+                                "Content-Length: 0\r\n\r\n",
+                                id);
+  if (send (info->connect_fd, text, strlen (text), MSG_NOSIGNAL) < 0)
+    cyu_log (G_LOG_LEVEL_WARNING, "the second refusal was not sent: %s",
+             g_strerror (errno));
+  g_free (text);
+  g_free (id);
+  return false;
+}
+
 static void
 run_resume (struct run *run)
 {
@@ -389,6 +433,7 @@
     case CYK_LATE:
     case CYK_SHED:
     case CYK_ECHO_KEY:
+    case CYK_REFUSAL_TWICE:
       break;
     }
   return send_answer (run, method);
@@ -444,6 +489,8 @@
     return send_load (run);
   if (run->fault == CYK_SHED)
     return send_shed (run);
+  if (run->fault == CYK_REFUSAL_TWICE && !run->counted && refuses_first (run))
+    return send_shed (run);
   if (!run->counted)
     {
       enum MHD_Result result = run_start (run, method);
@@ -481,6 +528,7 @@
   serve->options = *options;
   serve->started = cy_clock_now (cy_system_clock ());
   serve->open = g_hash_table_new (NULL, NULL);
+  serve->refused = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   struct cyh_server_options server = {
     .loop = options->loop,
     .listen_fd = options->listen_fd,
@@ -496,6 +544,7 @@
   if (result != CY_OK)
     {
       g_hash_table_destroy (serve->open);
+      g_hash_table_destroy (serve->refused);
       g_free (serve);
       return result;
     }
@@ -518,6 +567,7 @@
   g_list_free (open);
   cyh_server_destroy (serve->server);
   g_hash_table_destroy (serve->open);
+  g_hash_table_destroy (serve->refused);
   g_free (serve);
 }
 
--- a/src/backend/cyk_serve.h
+++ b/src/backend/cyk_serve.h
@@ -24,15 +24,17 @@
 enum cyk_fault
 {
   CYK_NONE,
-  CYK_SILENT,     /* healthy-but-silent: reads, runs, never answers */
-  CYK_LYING_LOAD, /* says that it is idle */
-  CYK_SLOW,       /* slow10x */
-  CYK_CLOSE,      /* close-after-read: runs, closes without an answer */
-  CYK_RESET,      /* runs, resets the connection */
-  CYK_TRUNCATE,   /* sends half of the answer's body */
-  CYK_LATE,       /* answers after CYK_LATE_MS */
-  CYK_SHED,       /* refuses with 503 and Cy-Not-Run: 1 */
-  CYK_ECHO_KEY    /* redirects to a place that holds a key */
+  CYK_SILENT,       /* healthy-but-silent: reads, runs, never answers */
+  CYK_LYING_LOAD,   /* says that it is idle */
+  CYK_SLOW,         /* slow10x */
+  CYK_CLOSE,        /* close-after-read: runs, closes without an answer */
+  CYK_RESET,        /* runs, resets the connection */
+  CYK_TRUNCATE,     /* sends half of the answer's body */
+  CYK_LATE,         /* answers after CYK_LATE_MS */
+  CYK_SHED,         /* refuses with 503 and Cy-Not-Run: 1 */
+  CYK_ECHO_KEY,     /* redirects to a place that holds a key */
+  CYK_REFUSAL_TWICE /* refuses a connection's first request; the refusal comes
+                       once more as the second one runs */
 };
 
 struct cyk_options
--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -246,7 +246,7 @@
 {
   const struct cye_call_options *options = &call->options;
   long age = options->kept_max_s;
-  bool fresh = !options->keep;
+  bool fresh = !options->keep || options->fresh;
   if (options->suspect != 0)
     {
       cy_time_ns since = cy_clock_now (options->clock) - options->suspect;
--- a/src/entry/cye_call.h
+++ b/src/entry/cye_call.h
@@ -64,6 +64,7 @@
   bool idempotent;
   long kept_max_s;    /* that a kept connection may have been idle */
   bool keep;          /* the connection may be kept */
+  bool fresh;         /* a kept connection may not be used */
   cy_time_ns suspect; /* see struct cye_ticket */
   int64_t timeout_ms;
   cy_time_ns send_by; /* it is not sent after this moment, 0: at any time */
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
@@ -51,6 +52,24 @@
   return false;
 }
 
+/* True when an earlier attempt went to the same address; notes this one.  What
+   the server said of that attempt may come once more on its connection, where
+   the answer to this one is due.  */
+static bool
+note_address (struct cye_request *request)
+{
+  const struct cye_ticket *ticket = &request->ticket;
+  uint64_t address = XXH3_64bits_withSeed (ticket->host, strlen (ticket->host),
+                                           ticket->port);
+  for (int i = 0; i < MIN (request->attempts, CYE_TRIED_MAX); i++)
+    if (request->tried[i] == address)
+      return true;
+  if (request->attempts >= CYE_TRIED_MAX)
+    return true;
+  request->tried[request->attempts] = address;
+  return false;
+}
+
 static void
 prepare_headers (struct cye_request *request, int64_t left_ms)
 {
@@ -68,6 +87,12 @@
   add_line (request, names->timeout, left);
   if (request->workspace[0] != '\0')
     add_line (request, names->workspace, request->workspace);
+  if (request->shared->layout == CYE_TREE)
+    {
+      g_snprintf (request->attempt_id, sizeof request->attempt_id,
+                  "%016" PRIx64, ck_pr_faa_64 (&request->shared->attempts, 1));
+      add_line (request, names->request_id, request->attempt_id);
+    }
   if (request->shared->layout == CYE_HUB)
     {
       add_line (request, names->expect, request->ticket.instance);
@@ -124,6 +149,7 @@
       return;
     }
   prepare_headers (request, left_ms);
+  bool fresh = note_address (request);
   request->attempts++;
   request->stage = CYE_CALLING;
   bool has_body = request->length != CYE_LENGTH_NONE;
@@ -139,6 +165,7 @@
     .idempotent = request->idempotent,
     .kept_max_s = kept_max_s (request),
     .keep = ticket->keep,
+    .fresh = fresh,
     .suspect = ticket->suspect,
     .timeout_ms = left_ms,
     .send_by = send_by (request),
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -25,6 +25,8 @@
   CYE_ANSWERING  /* the answer is on its way to the caller */
 };
 
+#define CYE_TRIED_MAX 8 /* addresses that a request remembers */
+
 struct cye_request
 {
   struct cye_links links;
@@ -66,8 +68,10 @@
   struct cym_load load; /* as the server's answer said */
   bool arrived;         /* an earlier attempt reached a server */
   uint32_t attempts_max;
-  char *request_id; /* as sent, NULL if none */
-  char *host;       /* header, as sent */
+  char *request_id;    /* as sent, NULL if none */
+  char attempt_id[20]; /* in the tree: names the attempt to the server */
+  uint64_t tried[CYE_TRIED_MAX]; /* hashes of the addresses of earlier ones */
+  char *host;                    /* header, as sent */
   struct cye_call *call;
   struct curl_slist *call_headers;
   int attempts;
--- a/src/entry/cye_shared.h
+++ b/src/entry/cye_shared.h
@@ -41,9 +41,10 @@
   struct cye_split *split;
   struct cye_announce *announce;
   struct cye_budget budget;
-  int leaving;  /* atomic: a planned stop is under way */
-  int ready;    /* atomic: the state has been confirmed once */
-  int64_t open; /* atomic: requests being served */
+  int leaving;       /* atomic: a planned stop is under way */
+  int ready;         /* atomic: the state has been confirmed once */
+  int64_t open;      /* atomic: requests being served */
+  uint64_t attempts; /* atomic: numbers the attempts of all workers */
 };
 
 #endif /* CYE_SHARED_H */
--- a/tests/path/raw_server.h
+++ b/tests/path/raw_server.h
@@ -28,6 +28,7 @@
   RAW_RESET,            /* reads it and resets the connection */
   RAW_LATE,             /* sends the script's text after RAW_LATE_US */
   RAW_SILENT,           /* reads it and never answers */
+  RAW_MORE,             /* sends the server's MORE */
   RAW_ENDLESS           /* sends the script's text, then MORE for ever */
 };
 
@@ -44,7 +45,7 @@
   uint16_t port;
   pthread_t thread;
   struct raw_script script;
-  const char *more;       /* of RAW_ENDLESS; set before the first request */
+  const char *more;       /* set before the first request */
   atomic_int lost;        /* so many first connections are never answered on */
   atomic_int requests;    /* read whole, but /health */
   atomic_int connections; /* that asked for more than /health */
@@ -127,6 +128,9 @@
       return false;
     case RAW_SILENT:
       return true;
+    case RAW_MORE:
+      text = conn->server->more;
+      return send (conn->fd, text, strlen (text), MSG_NOSIGNAL) > 0;
     case RAW_ENDLESS:
       raw_send_endless (conn, text);
       return false;
--- a/tests/path/test_golden.c
+++ b/tests/path/test_golden.c
@@ -159,6 +159,7 @@
     { "Date: [^\r\n]*", "Date: DATE" },
     { "dur=[0-9.]+", "dur=MS" },
     { "Cy-Timeout-Ms: [0-9]+", "Cy-Timeout-Ms: MS" },
+    { "Cy-Request-Id: [0-9a-f]{16}", "Cy-Request-Id: ID" },
   };
   char port_text[32];
   g_snprintf (port_text, sizeof port_text, "127.0.0.1:%u", port);
--- a/tests/path/test_resend.c
+++ b/tests/path/test_resend.c
@@ -83,6 +83,103 @@
 }
 END_TEST
 
+#define REFUSAL                                                               \
+  "HTTP/1.1 503 Service Unavailable\r\nCy-Not-Run: 1\r\n"                     \
+  "Content-Length: 0\r\n\r\n"
+
+/* Guards against a refusal that a server writes once more where the answer to
+   another request, or to another attempt, is due: that one may run.  */
+static const struct
+{
+  const char *pattern;
+  const char *method;
+  struct raw_script script;
+  const char *more;
+  long first;  /* status of the first request */
+  long status; /* of the second one */
+  const char *outcome;
+  int sent;        /* requests of both */
+  int connections; /* that they need */
+} refused_rows[] = {
+  { "refused on new connections, then without a name on a kept one",
+    "POST",
+    { RAW_ANSWER, RAW_ANSWER, REFUSAL },
+    NULL,
+    503,
+    502,
+    "unknown",
+    5,
+    4 },
+  { "a refusal without a name, in place of the second answer",
+    "POST",
+    { RAW_ANSWER, RAW_MORE, NULL },
+    REFUSAL,
+    200,
+    502,
+    "unknown",
+    2,
+    1 },
+  { "the same of a request that may be repeated",
+    "GET",
+    { RAW_ANSWER, RAW_MORE, NULL },
+    REFUSAL,
+    200,
+    200,
+    "ran",
+    3,
+    2 },
+  { "a refusal that names another attempt",
+    "POST",
+    { RAW_ANSWER, RAW_MORE, NULL },
+    "HTTP/1.1 503 Service Unavailable\r\nCy-Not-Run: 1\r\n"
+    "Cy-Request-Id: 0123456789abcdef\r\nContent-Length: 0\r\n\r\n",
+    200,
+    502,
+    "unknown",
+    2,
+    1 },
+  { "an answer that names another attempt",
+    "POST",
+    { RAW_ANSWER, RAW_MORE, NULL },
+    "HTTP/1.1 200 OK\r\nCy-Request-Id: 0123456789abcdef\r\n"
+    "Content-Length: 2\r\n\r\nok",
+    200,
+    502,
+    "unknown",
+    2,
+    1 },
+};
+
+START_TEST (test_refusal_once_more)
+{
+  struct raw_server *server = raw_server_start (refused_rows[_i].script);
+  server->more = refused_rows[_i].more;
+  const char *method = refused_rows[_i].method;
+  const char *body = strcmp (method, "GET") == 0 ? NULL : "confirm";
+  world_prepare (false);
+  world_backend ("b1", server->port, false);
+  world_start ();
+  CURL *easy = curl_easy_init ();
+  struct reply first = ask (easy, method, "/", WORLD_KEY, body, NULL);
+  struct reply second
+      = ask (easy, method, "/", WORLD_KEY, body, "Cy-Timeout-Ms: 2500");
+  ck_assert_int_eq (first.status, refused_rows[_i].first);
+  ck_assert_msg (second.status == refused_rows[_i].status, "%s: %ld %s",
+                 refused_rows[_i].pattern, second.status, second.body->str);
+  ck_assert_str_eq (second.outcome, refused_rows[_i].outcome);
+  ck_assert_msg (atomic_load (&server->requests) == refused_rows[_i].sent
+                     && atomic_load (&server->connections)
+                            == refused_rows[_i].connections,
+                 "%s: %d requests on %d connections", refused_rows[_i].pattern,
+                 atomic_load (&server->requests),
+                 atomic_load (&server->connections));
+  reply_clear (&first);
+  reply_clear (&second);
+  curl_easy_cleanup (easy);
+  world_stop ();
+}
+END_TEST
+
 /* A connection that goes silent under its first request.  */
 static const struct
 {
@@ -150,6 +247,8 @@
   tcase_add_loop_test (tcase, test_lost_new_connection, 0,
                        G_N_ELEMENTS (lost_rows));
   tcase_add_test (tcase, test_long_work);
+  tcase_add_loop_test (tcase, test_refusal_once_more, 0,
+                       G_N_ELEMENTS (refused_rows));
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
