An announcement that no backend server makes is refused

Other operators: another writer left one odd entry among those of the instances (nested deeply, a number too large, a port out of range), and the machines that read the list ended again and again or stopped following it.

But an entry of a server's name that says to have started at the end of time was accepted and won against the server's own ones for good: callers got 503. The same for its address, for a sequence at the end of counting, and a line end in a name was accepted, which goes into a header.

Change: cyc_register_flaw names the field that can't be right: born more than an hour after now, a sequence beyond 2^53 - 1, names that are empty, longer than 100 bytes or not plain ASCII, a port of 0 or above 65535. Both dialects refuse with 400 and the field. An entry that is wrong within these ranges still counts as its server's.

--- a/src/core/cyc_register.c
+++ b/src/core/cyc_register.c
@@ -219,6 +219,39 @@
   return CYC_CHANGED;
 }
 
+/* True when TEXT can stand in a header and in a log line.  */
+static bool
+is_plain (const char *text)
+{
+  size_t length = strlen (text);
+  if (length == 0 || length > CYC_TEXT_MAX)
+    return false;
+  for (size_t i = 0; i < length; i++)
+    if (!g_ascii_isgraph (text[i]))
+      return false;
+  return true;
+}
+
+const char *
+cyc_register_flaw (const Cy__Instance *facts, int64_t unix_ms)
+{
+  if (!is_plain (facts->id))
+    return "id";
+  if (facts->born > (uint64_t)(unix_ms + CYC_BORN_LATE_MS))
+    return "born";
+  if (facts->sequence > CYC_WHOLE_MAX)
+    return "sequence";
+  if (facts->gone)
+    return NULL;
+  if (!is_plain (facts->service))
+    return "service";
+  if (!is_plain (facts->zone))
+    return "zone";
+  if (facts->port == 0 || facts->port > UINT16_MAX)
+    return "port";
+  return NULL;
+}
+
 enum cyc_news
 cyc_register_instance (struct cyc_register *reg, const Cy__Instance *facts,
                        bool direct, cy_time_ns now)
--- a/src/core/cyc_register.h
+++ b/src/core/cyc_register.h
@@ -48,6 +48,15 @@
 struct cyc_register *cyc_register_create (void);
 void cyc_register_destroy (struct cyc_register *reg);
 
+#define CYC_TEXT_MAX     100               /* bytes of a name in an entry */
+#define CYC_WHOLE_MAX    ((1LL << 53) - 1) /* that JSON can hold exactly */
+#define CYC_BORN_LATE_MS (3600 * 1000)     /* ms by which clocks may differ */
+
+/* Returns the name of a field of FACTS that no backend server says of itself,
+   NULL if there is none.  UNIX_MS is the time of day: one that says to have
+   started much later would win against all that follow it.  */
+const char *cyc_register_flaw (const Cy__Instance *facts, int64_t unix_ms);
+
 /* What an announcement told.  */
 enum cyc_news
 {
--- a/src/hub/cyc_http.c
+++ b/src/hub/cyc_http.c
@@ -7,6 +7,7 @@
 
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
+#include "core/cyc_register.h"
 #include "http/cyh_server.h"
 
 #define CONNECTION_MEMORY 16384 /* bytes for one caller's headers */
@@ -313,6 +314,20 @@
            request->error.path, request->error.detail);
 }
 
+/* Refuses an announcement that no backend server makes.  */
+static void
+check_announcement (struct request *request)
+{
+  int64_t now_ms = cy_clock_unix_ms (cyn_loop_clock (request->http->loop));
+  const char *field = cyc_register_flaw (request->call.instance, now_ms);
+  if (field == NULL)
+    return;
+  request->result = CY_E_ARGUMENT;
+  g_strlcpy (request->error.path, field, sizeof request->error.path);
+  g_strlcpy (request->error.detail, "is out of its range",
+             sizeof request->error.detail);
+}
+
 static void
 read_call (struct request *request)
 {
@@ -325,6 +340,8 @@
   else
     request->result = cyc_call_read (request->http->dialect, &message,
                                      &request->call, &request->error);
+  if (request->result == CY_OK && request->call.kind == CYC_CALL_ANNOUNCE)
+    check_announcement (request);
   request->read = request->result == CY_OK;
   if (request->read)
     carry_out (request);
--- a/tests/hub/test_register.c
+++ b/tests/hub/test_register.c
@@ -153,12 +153,71 @@
 }
 END_TEST
 
+#define NOW_MS INT64_C (1800000000000)
+#define HOUR   INT64_C (3600000)
+
+static char long_name[CYC_TEXT_MAX + 2];
+
+/* Entries of another writer that no backend server says of itself.  */
+static const struct
+{
+  const char *what;
+  const char *id;
+  const char *service;
+  const char *zone;
+  uint32_t port;
+  uint64_t born;
+  uint64_t sequence;
+  bool gone;
+  const char *flaw; /* NULL: it is fine */
+} odd[] = {
+  { "a good one", "a", "s", "z", 1, NOW_MS, 1, false, NULL },
+  { "a clock that is ahead", "a", "s", "z", 1, NOW_MS + HOUR, 1, false, NULL },
+  { "born tomorrow", "a", "s", "z", 1, NOW_MS + 24 * HOUR, 1, false, "born" },
+  { "born at the end of time", "a", "s", "z", 1, INT64_MAX, 1, false, "born" },
+  { "born at the end of time, gone", "a", "", "", 0, INT64_MAX, 0, true,
+    "born" },
+  { "sequence too large", "a", "s", "z", 1, NOW_MS, INT64_MAX, false,
+    "sequence" },
+  { "a line end in the id", "a\r\nX: y", "s", "z", 1, NOW_MS, 1, false, "id" },
+  { "bytes that are no text", "\xff\xfe", "s", "z", 1, NOW_MS, 1, false,
+    "id" },
+  { "no id", "", "s", "z", 1, NOW_MS, 1, true, "id" },
+  { "a long service", "a", long_name, "z", 1, NOW_MS, 1, false, "service" },
+  { "no zone", "a", "s", "", 1, NOW_MS, 1, false, "zone" },
+  { "port 0", "a", "s", "z", 0, NOW_MS, 1, false, "port" },
+  { "port 65536", "a", "s", "z", 65536, NOW_MS, 1, false, "port" },
+  { "one that leaves says no more than its id", "a", "", "", 0, 0, 0, true,
+    NULL },
+};
+
+/* Guards against one odd entry that takes a server's address or name for good,
+   or ends the processes that read it.  */
+START_TEST (test_flaw)
+{
+  Cy__Instance facts = CY__INSTANCE__INIT;
+  memset (long_name, 'x', sizeof long_name - 1);
+  facts.id = (char *)odd[_i].id;
+  facts.service = (char *)odd[_i].service;
+  facts.zone = (char *)odd[_i].zone;
+  facts.host = (char *)"10.0.0.1";
+  facts.port = odd[_i].port;
+  facts.born = odd[_i].born;
+  facts.sequence = odd[_i].sequence;
+  facts.gone = odd[_i].gone;
+  const char *flaw = cyc_register_flaw (&facts, NOW_MS);
+  ck_assert_msg (g_strcmp0 (flaw, odd[_i].flaw) == 0, "%s: %s", odd[_i].what,
+                 flaw == NULL ? "none" : flaw);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("register");
   TCase *all = tcase_create ("all");
   tcase_add_loop_test (all, test_order, 0, G_N_ELEMENTS (rows));
+  tcase_add_loop_test (all, test_flaw, 0, G_N_ELEMENTS (odd));
   tcase_add_test (all, test_expiry);
   tcase_add_test (all, test_entry_incarnations);
   suite_add_tcase (suite, all);
