A placer that starts anew does not take what it has not heard for load that grew

Users saw more repeats at a service than its budget allows.

Cause: a region has an even part of what the fleet's best window holds beyond the window before the span. A control VM that starts anew has heard nothing of the first part of that window, takes it for a load that has grown, and allows up to a third of a fifth of it on top.

Change: a control VM's word says for how long it has counted. One that hears a placer for the first time which has counted for longer, and one that loses words or hears a placer that started anew, does without the even part until a whole window lies after that.

--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -9001,7 +9001,7 @@
   (ProtobufCMessageInit) cy__hub_sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__placed_count__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cy__placed_count__field_descriptors[4] =
 {
   {
     "service",
@@ -9039,8 +9039,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "for_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlacedCount, for_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__placed_count__field_indices_by_name[] = {
+  3,   /* field[3] = for_ms */
   2,   /* field[2] = repeats */
   1,   /* field[1] = requests */
   0,   /* field[0] = service */
@@ -9048,7 +9061,7 @@
 static const ProtobufCIntRange cy__placed_count__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cy__placed_count__descriptor =
 {
@@ -9058,7 +9071,7 @@
   "Cy__PlacedCount",
   "cy",
   sizeof(Cy__PlacedCount),
-  3,
+  4,
   cy__placed_count__field_descriptors,
   cy__placed_count__field_indices_by_name,
   1,  cy__placed_count__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -1474,10 +1474,14 @@
   char *service;
   uint64_t requests;
   uint64_t repeats;
+  /*
+   * for how long it has counted
+   */
+  uint32_t for_ms;
 };
 #define CY__PLACED_COUNT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__placed_count__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -125,6 +125,13 @@
                     now);
 }
 
+void
+cym_match_missed_requests (struct cym_match *match, const char *service,
+                           cy_time_ns now)
+{
+  cym_repeats_missed (&service_get (match, service)->repeats, now);
+}
+
 void
 cym_match_each_count (const struct cym_match *match, cym_count_fn each,
                       void *context)
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -268,6 +268,10 @@
                              enum cym_repeats_source source, uint32_t requests,
                              uint32_t repeats, cy_time_ns now);
 
+/* Others counted requests of SERVICE that this matcher has not heard of.  */
+void cym_match_missed_requests (struct cym_match *match, const char *service,
+                                cy_time_ns now);
+
 /* Calls EACH for every service with what this matcher counted since its
    start.  */
 typedef void (*cym_count_fn) (const char *service,
--- a/src/core/cym_repeats.c
+++ b/src/core/cym_repeats.c
@@ -54,6 +54,12 @@
 }
 
 void
+cym_repeats_missed (struct cym_repeats *repeats, cy_time_ns now)
+{
+  repeats->missed = MAX (repeats->missed, now);
+}
+
+bool
 cym_repeats_news (struct cym_repeats_told *told, cy_time_ns gap,
                   uint64_t *requests, uint64_t *repeats, cy_time_ns now)
 {
@@ -61,14 +67,17 @@
   *told = (struct cym_repeats_told){ *requests, *repeats, now };
   if (last.at == 0)
     last = *told;
-  /* It started anew and counts from 0.  */
-  if (last.requests > *requests || last.repeats > *repeats)
+  bool anew = last.requests > *requests || last.repeats > *repeats;
+  bool silent = now - last.at > gap;
+  /* It counts from 0.  */
+  if (anew)
     {
       last.requests = 0;
       last.repeats = 0;
     }
-  *requests = now - last.at > gap ? 0 : *requests - last.requests;
+  *requests = silent ? 0 : *requests - last.requests;
   *repeats -= last.repeats;
+  return !anew && !silent;
 }
 
 /* ------------------------------------------------------------ windows */
@@ -173,6 +182,17 @@
   return least;
 }
 
+/* True when nothing was missed of the window before slice AT.  What was would
+   pass for a load that has grown since.  */
+static bool
+is_complete (const struct cym_repeats *repeats,
+             const struct cym_repeat_bounds *bounds, int at, cy_time_ns now)
+{
+  cy_time_ns slice = bounds->window / CYM_REPEATS_SLICES;
+  return repeats->missed == 0
+         || now - (at + CYM_REPEATS_SLICES) * slice >= repeats->missed;
+}
+
 bool
 cym_repeats_has (struct cym_repeats *repeats,
                  const struct cym_repeat_bounds *bounds,
@@ -196,7 +216,9 @@
   for (int first = 0; first <= CYM_REPEATS_SLICES + way; first++)
     {
       int at = first - way;
-      double asked = asked_least (&region, view->all ? &others : NULL,
+      bool all
+          = view->all && is_complete (repeats, bounds, at + late + told, now);
+      double asked = asked_least (&region, all ? &others : NULL,
                                   bounds->regions, at, late, told);
       if (region.repeats[first + 1] + count > asked * bounds->ratio + fixed)
         return false;
--- a/src/core/cym_repeats.h
+++ b/src/core/cym_repeats.h
@@ -69,9 +69,10 @@
   struct cym_repeat_counts of[CYM_REPEATS_SOURCES];
   uint64_t requests; /* own, since the start */
   uint64_t repeats;
-  uint64_t refused; /* for its owner to count */
-  int64_t slice;    /* number of the newest slice since time 0 */
-  cy_time_ns since; /* of the first call, 0: none yet */
+  uint64_t refused;  /* for its owner to count */
+  int64_t slice;     /* number of the newest slice since time 0 */
+  cy_time_ns since;  /* of the first call, 0: none yet */
+  cy_time_ns missed; /* others' counts are not complete before, 0: they are */
 };
 
 /* What this placer knows of the others.  */
@@ -98,6 +99,9 @@
                        enum cym_repeats_source source, uint32_t requests,
                        uint32_t taken, cy_time_ns now);
 
+/* Others counted requests until NOW that this placer has not heard of.  */
+void cym_repeats_missed (struct cym_repeats *repeats, cy_time_ns now);
+
 /* What another placer said last: what it counted since its start.  */
 struct cym_repeats_told
 {
@@ -109,8 +113,9 @@
 /* Notes that it says REQUESTS and REPEATS now, and leaves in both what is new.
    Nothing is new the first time: how much of it is of the last window is not
    known.  After more than GAP without a word the requests are left out, as
-   they may be older than the newest slice.  */
-void cym_repeats_news (struct cym_repeats_told *told, cy_time_ns gap,
+   they may be older than the newest slice.  Returns false when some were lost
+   since the last word: after a gap, or as it started anew.  */
+bool cym_repeats_news (struct cym_repeats_told *told, cy_time_ns gap,
                        uint64_t *requests, uint64_t *repeats, cy_time_ns now);
 
 /* True when the budget has COUNT more repeats.  */
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -142,6 +142,7 @@
   unsigned attached;
 
   /* cyc_repeats.c */
+  cy_time_ns created;
   bool hears_all;              /* the placers of all regions */
   GHashTable *refused_repeats; /* service to uint64_t, as last reported */
   cy_time_ns reported;
--- a/src/hub/cyc_repeats.c
+++ b/src/hub/cyc_repeats.c
@@ -14,16 +14,24 @@
 
 /* ------------------------------------------------------------ telling */
 
+struct telling
+{
+  GPtrArray *list; /* Cy__PlacedCount * */
+  cy_time_ns now;
+};
+
 static void
 add_count (const char *service, const struct cym_repeats *counts,
            void *context)
 {
-  GPtrArray *list = context;
+  const struct telling *telling = context;
+  GPtrArray *list = telling->list;
   Cy__PlacedCount *count = g_new (Cy__PlacedCount, 1);
   cy__placed_count__init (count);
   count->service = g_strdup (service);
   count->requests = counts->requests;
   count->repeats = counts->repeats;
+  count->for_ms = (uint32_t)((telling->now - counts->since) / CY_NS_PER_MS);
   g_ptr_array_add (list, count);
 }
 
@@ -31,7 +39,8 @@
 cyc_repeats_fill (struct cyc_hub *hub, Cy__HubSync *sync)
 {
   GPtrArray *list = g_ptr_array_new ();
-  cym_match_each_count (hub->match, add_count, list);
+  struct telling telling = { list, cyc_now (hub) };
+  cym_match_each_count (hub->match, add_count, &telling);
   sync->n_placed = list->len;
   sync->placed = (Cy__PlacedCount **)(void *)g_ptr_array_free (list, FALSE);
 }
@@ -46,6 +55,17 @@
 
 /* ------------------------------------------------------------ hearing */
 
+/* True when the placer of COUNT, heard of for the first time, has counted for
+   much longer than this control VM has run.  */
+static bool
+has_missed (const struct cyc_hub *hub, const Cy__PlacedCount *count,
+            cy_time_ns now)
+{
+  return count->requests > 0
+         && count->for_ms * CY_NS_PER_MS
+                > now - hub->created + GAP_MS * CY_NS_PER_MS;
+}
+
 static void
 hear_count (struct cyc_hub *hub, struct cyc_peer *peer,
             const Cy__PlacedCount *count, cy_time_ns now)
@@ -60,7 +80,11 @@
       told = g_new0 (struct cym_repeats_told, 1);
       g_hash_table_insert (peer->placed, g_strdup (count->service), told);
     }
-  cym_repeats_news (told, GAP_MS * CY_NS_PER_MS, &requests, &repeats, now);
+  bool first = told->at == 0;
+  bool complete = cym_repeats_news (told, GAP_MS * CY_NS_PER_MS, &requests,
+                                    &repeats, now);
+  if (first ? has_missed (hub, count, now) : !complete)
+    cym_match_missed_requests (hub->match, count->service, now);
   cym_match_hear_repeats (hub->match, count->service,
                           same ? CYM_REPEATS_REGION : CYM_REPEATS_ELSEWHERE,
                           (uint32_t)requests, (uint32_t)repeats, now);
@@ -167,6 +191,7 @@
 void
 cyc_repeats_create (struct cyc_hub *hub)
 {
+  hub->created = cyc_now (hub);
   hub->refused_repeats
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
