--- /dev/null
+++ b/scripts/lib/hubs.sh
@@ -0,0 +1,80 @@
+# A small hub layout on loopback for tests: three control VMs in two regions, an
+# entry VM and one backend server.  Sourced, never run; ends with the script.
+source scripts/lib/cluster.sh
+trap 'cluster_stop; rm -rf "$cluster_dir"' EXIT
+cluster_secrets
+failures=0
+net=127.$((RANDOM % 200 + 20)).$((RANDOM % 250))
+for name in peer http listen served; do
+  cluster_free_port; declare "$name=$PORT"
+done
+hubs_gate=$net.11:$listen       # where callers reach the entry VM
+hubs_server=$net.30             # host of the backend server
+hubs_args=()                    # more flags of the control VMs
+
+fail () { echo "FAILED: $*"; failures=$((failures + 1)); }
+
+# hubs_start [FLAGS OF THE BACKEND SERVER...]
+hubs_start () {
+  local i zones=(- a b c) regions=(- r1 r1 r2) map=a=r1,b=r1,c=r2
+  local seeds=$net.1:$http,$net.2:$http,$net.3:$http
+  for i in 1 2 3; do
+    mkdir "$cluster_dir/hub$i"
+    cluster_run "hub$i" "$cluster_bin/cy-hub" --vm "hub$i" \
+      --zone "${zones[i]}" --region "${regions[i]}" --regions $map \
+      --host "$net.$i" --port "$peer" --control "$net.$i:$http" \
+      --seeds "$seeds" --found true --data "$cluster_dir/hub$i" \
+      --spare-disks 1 --secret-file "$cluster_dir/secret" "${hubs_args[@]}"
+  done
+  cluster_run gate "$cluster_bin/cy-gate" --vm gate --zone a --region r1 \
+    --regions $map --listen "$hubs_gate" --peer-port "$peer" \
+    --seeds "$seeds" --secret-file "$cluster_dir/secret"
+  cluster_run backend "$cluster_bin/cy-backend" --service s --zone a \
+    --host "$hubs_server" --port "$served" "$@"
+  cluster_wait_ready hub1 hub2 hub3 gate backend || exit 1
+}
+
+# call METHOD URL [CURL ARGS...]: sets CODE.
+call () {
+  local method=$1 url=$2
+  shift 2
+  CODE=$(curl -sS -m 8 -X "$method" -o /dev/null -w '%{http_code}' "$@" "$url")
+}
+
+# hubs_declare FIELDS: service s behind /x/, FIELDS of its route.
+hubs_declare () {
+  cat >"$cluster_dir/document.json" <<DOCUMENT
+{"number":1,"services":{"s":{"connections":100}},
+ "routes":{"r1":{"host":"a.example","prefix":"/x/","rank":1,"open":true,
+  $1,"backends":[{"service":"s","weight":1}]}}}
+DOCUMENT
+  cluster_wait_until 10 hubs_declared || fail "declaration: $CODE"
+}
+
+hubs_declared () {
+  call PUT "http://$net.1:$http/v1/declaration" -L \
+    --data-binary "@$cluster_dir/document.json"
+  [ "$CODE" = 200 ]
+}
+
+# hubs_entry INSTANCE PORT SLOTS SEQUENCE [BORN]: prints an announcement.
+hubs_entry () {
+  echo "{\"instance\":\"$1\",\"service\":\"s\",\"zone\":\"a\",
+    \"host\":\"$hubs_server\",\"port\":$2,\"slots\":$3,\"sequence\":$4,
+    \"born_unix_ms\":${5:-1000},\"state\":\"serving\"}"
+}
+
+# hubs_announce BODY
+hubs_announce () {
+  printf '%s' "$1" >"$cluster_dir/entry.json"
+  call POST "http://$net.2:$http/v1/announce" \
+    --data-binary "@$cluster_dir/entry.json"
+}
+
+# hubs_request METHOD NUMBER TIMEOUT_MS [CURL ARGS...]
+hubs_request () {
+  local method=$1 number=$2 timeout=$3
+  shift 3
+  call "$method" "http://$hubs_gate/x/$number" -H 'Host: a.example' \
+    -H "Cy-Request-Id: request-$number" -H "Cy-Timeout-Ms: $timeout" "$@"
+}
--- a/tests/scripts/counted_once.sh
+++ b/tests/scripts/counted_once.sh
@@ -4,63 +4,15 @@
 # that waits for a slot when its control VM ends.  Each counts once.
 set -u
 cd "$(dirname "$0")/../.."
-source scripts/lib/cluster.sh
-trap 'cluster_stop; rm -rf "$cluster_dir"' EXIT
-cluster_secrets
-net=127.$((RANDOM % 200 + 20)).$((RANDOM % 250))
-regions=a=r1,b=r1,c=r2
-for name in peer http listen served nobody; do
-  cluster_free_port; declare "$name=$PORT"
-done
-seeds=$net.1:$http,$net.2:$http,$net.3:$http
-failures=0
-
-fail () { echo "FAILED: $*"; failures=$((failures + 1)); }
-
-mkdir "$cluster_dir"/hub{1,2,3}
-for i in 1 2 3; do
-  zone=$(tr 123 abc <<<$i)
-  region=$(tr 123 112 <<<$i)
-  cluster_run "hub$i" "$cluster_bin/cy-hub" --vm "hub$i" --zone "$zone" \
-    --region "r$region" --regions $regions --host "$net.$i" --port "$peer" \
-    --control "$net.$i:$http" --seeds "$seeds" --found true \
-    --data "$cluster_dir/hub$i" --spare-disks 1 \
-    --secret-file "$cluster_dir/secret"
-done
-cluster_run gate "$cluster_bin/cy-gate" --vm gate --zone a --region r1 \
-  --regions $regions --listen "$net.11:$listen" --peer-port "$peer" \
-  --seeds "$seeds" --secret-file "$cluster_dir/secret"
-cluster_run backend "$cluster_bin/cy-backend" --service s --instance live \
-  --zone a --host "$net.30" --port "$served" --slots 1 --service-time-ms 700
-cluster_wait_ready hub1 hub2 hub3 gate backend || exit 1
-
-# call METHOD URL [CURL ARGS...]: sets CODE.
-call () {
-  local method=$1 url=$2
-  shift 2
-  CODE=$(curl -sS -m 8 -X "$method" -o /dev/null -w '%{http_code}' "$@" "$url")
-}
-
-cat >"$cluster_dir/document.json" <<'DOCUMENT'
-{"number":1,"services":{"s":{"connections":100}},
- "routes":{"r1":{"host":"a.example","prefix":"/x/","timeout_ms":8000,
-  "goal_ms":6000,"rank":1,"attempts":3,"idempotent":true,"open":true,
-  "backends":[{"service":"s","weight":1}]}}}
-DOCUMENT
-declared () {
-  call PUT "http://$net.1:$http/v1/declaration" -L \
-    --data-binary "@$cluster_dir/document.json"
-  [ "$CODE" = 200 ]
-}
-cluster_wait_until 10 declared || fail "declaration: $CODE"
+source scripts/lib/hubs.sh
+cluster_free_port; nobody=$PORT # a port that nobody listens on
+hubs_start --instance live --slots 1 --service-time-ms 700
+hubs_declare '"timeout_ms":8000,"goal_ms":6000,"attempts":3,"idempotent":true'
 
 sequence=0
 announce () { # INSTANCE PORT
   sequence=$((sequence + 1))
-  call POST "http://$net.2:$http/v1/announce" --data \
-    "{\"instance\":\"$1\",\"service\":\"s\",\"zone\":\"a\",\"host\":\"$net.30\",
-      \"port\":$2,\"slots\":1,\"born_unix_ms\":1000,\"sequence\":$sequence,
-      \"state\":\"serving\"}"
+  hubs_announce "$(hubs_entry "$1" "$2" 1 $sequence)"
 }
 sent=0
 ask () {
@@ -70,8 +22,7 @@
 }
 renew () { announce live "$served"; }
 request () { # NUMBER
-  call GET "http://$net.11:$listen/x/$1" -H 'Host: a.example' \
-    -H "Cy-Request-Id: request-$1" -H 'Cy-Timeout-Ms: 8000'
+  hubs_request GET "$1" 8000
   [ "$CODE" = 200 ]
 }
 counted () { # HUB...: requests that they counted, read once a second
