--- a/tests/match/test_repeats.c
+++ b/tests/match/test_repeats.c
@@ -201,21 +201,24 @@
     int64_t at_ms;
     uint64_t requests, repeats;
     uint64_t new_requests, new_repeats;
+    bool complete; /* nothing was lost since the last word */
   } said[] = {
-    { "the first time", 0, 500, 20, 0, 0 },
-    { "the next time", 250, 540, 23, 40, 3 },
-    { "nothing new", 500, 540, 23, 0, 0 },
-    { "after a cut", 3000, 900, 50, 0, 27 },
-    { "it is heard again", 3250, 940, 51, 40, 1 },
-    { "it started anew", 3500, 30, 2, 30, 2 },
+    { "the first time", 0, 500, 20, 0, 0, true },
+    { "the next time", 250, 540, 23, 40, 3, true },
+    { "nothing new", 500, 540, 23, 0, 0, true },
+    { "after a cut", 3000, 900, 50, 0, 27, false },
+    { "it is heard again", 3250, 940, 51, 40, 1, true },
+    { "it started anew", 3500, 30, 2, 30, 2, false },
   };
   struct cym_repeats_told told = { 0 };
   for (unsigned i = 0; i < N (said); i++)
     {
       uint64_t requests = said[i].requests;
       uint64_t repeats = said[i].repeats;
-      cym_repeats_news (&told, 1000 * MS, &requests, &repeats,
-                        1000 * CY_NS_PER_S + said[i].at_ms * MS);
+      bool complete
+          = cym_repeats_news (&told, 1000 * MS, &requests, &repeats,
+                              1000 * CY_NS_PER_S + said[i].at_ms * MS);
+      ck_assert_msg (complete == said[i].complete, "%s", said[i].what);
       ck_assert_msg (requests == said[i].new_requests
                          && repeats == said[i].new_repeats,
                      "%s: %u and %u are new", said[i].what, (unsigned)requests,
