Comments of the budget name its constants; the time of counting is clamped

A placer that has counted for more than 49 days would have told a short time, and one that starts anew beside it would not have noticed what it missed. Found by reading; no test, no other change of behaviour.

--- a/src/core/cym_repeats.h
+++ b/src/core/cym_repeats.h
@@ -13,7 +13,7 @@
    took early is never owed to another one later.
 
    Counts are of the moment at which a placer hears of a request or grants a
-   repeat.  Requests were sent up to CYM_REPEATS_LAG_MS before, repeats arrive
+   repeat.  Requests were sent up to CYM_REPEATS_LATE_MS before, repeats arrive
    up to CYM_REPEATS_WAY_MS later: each window is taken at its worst within
    these bounds.  Pure, one thread at a time.  */
 
@@ -25,11 +25,11 @@
 
 #include "core/cy_clock.h"
 
-#define CYM_REPEATS_SLICES 100 /* of the window */
-#define CYM_REPEATS_MARGIN                                                    \
-  25 /* slices at most for each of the bounds below                           \
-      */
-#define CYM_REPEATS_KEPT (2 * CYM_REPEATS_SLICES + CYM_REPEATS_MARGIN)
+/* Slices of the window, slices at most for each of the times below, and slices
+   that are kept.  */
+#define CYM_REPEATS_SLICES 100
+#define CYM_REPEATS_MARGIN 25
+#define CYM_REPEATS_KEPT   (2 * CYM_REPEATS_SLICES + CYM_REPEATS_MARGIN)
 
 /* ms from a caller's request until its placer has counted it, and until the
    placers of other regions have heard of that.  */
--- a/src/hub/cyc_repeats.c
+++ b/src/hub/cyc_repeats.c
@@ -31,7 +31,8 @@
   count->service = g_strdup (service);
   count->requests = counts->requests;
   count->repeats = counts->repeats;
-  count->for_ms = (uint32_t)((telling->now - counts->since) / CY_NS_PER_MS);
+  count->for_ms = (uint32_t)MIN ((telling->now - counts->since) / CY_NS_PER_MS,
+                                 (cy_time_ns)UINT32_MAX);
   g_ptr_array_add (list, count);
 }
 
