--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -2302,6 +2302,51 @@
   assert(message->base.descriptor == &cy__instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cy__server_notice__init
+                     (Cy__ServerNotice         *message)
+{
+  static const Cy__ServerNotice init_value = CY__SERVER_NOTICE__INIT;
+  *message = init_value;
+}
+size_t cy__server_notice__get_packed_size
+                     (const Cy__ServerNotice *message)
+{
+  assert(message->base.descriptor == &cy__server_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cy__server_notice__pack
+                     (const Cy__ServerNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cy__server_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cy__server_notice__pack_to_buffer
+                     (const Cy__ServerNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cy__server_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cy__ServerNotice *
+       cy__server_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cy__ServerNotice *)
+     protobuf_c_message_unpack (&cy__server_notice__descriptor,
+                                allocator, len, data);
+}
+void   cy__server_notice__free_unpacked
+                     (Cy__ServerNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cy__server_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cy__entry_vm__init
                      (Cy__EntryVm         *message)
 {
@@ -8290,7 +8335,7 @@
   (ProtobufCMessageInit) cy__raft_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__instance__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cy__instance__field_descriptors[13] =
 {
   {
     "id",
@@ -8436,6 +8481,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__Instance, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__instance__field_indices_by_name[] = {
   11,   /* field[11] = age_ms */
@@ -8445,6 +8502,7 @@
   9,   /* field[9] = gone */
   2,   /* field[2] = host */
   0,   /* field[0] = id */
+  12,   /* field[12] = leaving */
   3,   /* field[3] = port */
   7,   /* field[7] = sequence */
   1,   /* field[1] = service */
@@ -8454,7 +8512,7 @@
 static const ProtobufCIntRange cy__instance__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cy__instance__descriptor =
 {
@@ -8464,13 +8522,90 @@
   "Cy__Instance",
   "cy",
   sizeof(Cy__Instance),
-  12,
+  13,
   cy__instance__field_descriptors,
   cy__instance__field_indices_by_name,
   1,  cy__instance__number_ranges,
   (ProtobufCMessageInit) cy__instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cy__server_notice__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cy__ServerNotice, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cy__ServerNotice, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__ServerNotice, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pause_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cy__ServerNotice, pause_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cy__server_notice__field_indices_by_name[] = {
+  1,   /* field[1] = born */
+  0,   /* field[0] = id */
+  2,   /* field[2] = leaving */
+  3,   /* field[3] = pause_ms */
+};
+static const ProtobufCIntRange cy__server_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cy__server_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cy.ServerNotice",
+  "ServerNotice",
+  "Cy__ServerNotice",
+  "cy",
+  sizeof(Cy__ServerNotice),
+  4,
+  cy__server_notice__field_descriptors,
+  cy__server_notice__field_indices_by_name,
+  1,  cy__server_notice__number_ranges,
+  (ProtobufCMessageInit) cy__server_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cy__entry_vm__field_descriptors[8] =
 {
   {
@@ -9567,7 +9702,7 @@
   (ProtobufCMessageInit) cy__hub_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__entry_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cy__entry_report__field_descriptors[7] =
 {
   {
     "self",
@@ -9641,11 +9776,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "notices",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cy__EntryReport, n_notices),
+    offsetof(Cy__EntryReport, notices),
+    &cy__server_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__entry_report__field_indices_by_name[] = {
   4,   /* field[4] = attached */
   1,   /* field[1] = document_number */
   2,   /* field[2] = epoch */
+  6,   /* field[6] = notices */
   5,   /* field[5] = number */
   0,   /* field[0] = self */
   3,   /* field[3] = sequence */
@@ -9653,7 +9801,7 @@
 static const ProtobufCIntRange cy__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cy__entry_report__descriptor =
 {
@@ -9663,7 +9811,7 @@
   "Cy__EntryReport",
   "cy",
   sizeof(Cy__EntryReport),
-  6,
+  7,
   cy__entry_report__field_descriptors,
   cy__entry_report__field_indices_by_name,
   1,  cy__entry_report__number_ranges,
@@ -10110,7 +10258,7 @@
   (ProtobufCMessageInit) cy__place_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__place_done__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cy__place_done__field_descriptors[10] =
 {
   {
     "number",
@@ -10208,13 +10356,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlaceDone, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pause_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlaceDone, pause_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__place_done__field_indices_by_name[] = {
   2,   /* field[2] = answer_us */
   7,   /* field[7] = cold_ms */
   1,   /* field[1] = ending */
+  8,   /* field[8] = leaving */
   3,   /* field[3] = loaded */
   0,   /* field[0] = number */
+  9,   /* field[9] = pause_ms */
   4,   /* field[4] = running */
   6,   /* field[6] = slots */
   5,   /* field[5] = waiting */
@@ -10222,7 +10396,7 @@
 static const ProtobufCIntRange cy__place_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cy__place_done__descriptor =
 {
@@ -10232,7 +10406,7 @@
   "Cy__PlaceDone",
   "cy",
   sizeof(Cy__PlaceDone),
-  8,
+  10,
   cy__place_done__field_descriptors,
   cy__place_done__field_indices_by_name,
   1,  cy__place_done__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -66,6 +66,7 @@
 typedef struct Cy__RaftFounding Cy__RaftFounding;
 typedef struct Cy__RaftMessage Cy__RaftMessage;
 typedef struct Cy__Instance Cy__Instance;
+typedef struct Cy__ServerNotice Cy__ServerNotice;
 typedef struct Cy__EntryVm Cy__EntryVm;
 typedef struct Cy__ControlVm Cy__ControlVm;
 typedef struct Cy__HubSync Cy__HubSync;
@@ -1435,10 +1436,36 @@
    * Time since the last announcement was received.
    */
   uint32_t age_ms;
+  /*
+   * The incarnation reported in an answer that it leaves.
+   */
+  protobuf_c_boolean leaving;
 };
 #define CY__INSTANCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__instance__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * What a server reported to an entry VM in answers.
+ */
+struct  Cy__ServerNotice
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * start time of the server in unix ms
+   */
+  uint64_t born;
+  protobuf_c_boolean leaving;
+  /*
+   * Time for which the server wants no request of the entry VM, 0: none.
+   */
+  uint32_t pause_ms;
+};
+#define CY__SERVER_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cy__server_notice__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -1763,10 +1790,15 @@
    * Number of this report, returned in the answer.
    */
   uint64_t number;
+  /*
+   * Notices in force at the entry VM, sent to each new placer.
+   */
+  size_t n_notices;
+  Cy__ServerNotice **notices;
 };
 #define CY__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__entry_report__descriptor) \
-    , NULL, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -1905,10 +1937,18 @@
   uint32_t waiting;
   uint32_t slots;
   uint32_t cold_ms;
+  /*
+   * the server reported that it leaves
+   */
+  protobuf_c_boolean leaving;
+  /*
+   * Time for which the server wants no request of the entry VM, 0: none.
+   */
+  uint32_t pause_ms;
 };
 #define CY__PLACE_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__place_done__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -3007,6 +3047,25 @@
 void   cy__instance__free_unpacked
                      (Cy__Instance *message,
                       ProtobufCAllocator *allocator);
+/* Cy__ServerNotice methods */
+void   cy__server_notice__init
+                     (Cy__ServerNotice         *message);
+size_t cy__server_notice__get_packed_size
+                     (const Cy__ServerNotice   *message);
+size_t cy__server_notice__pack
+                     (const Cy__ServerNotice   *message,
+                      uint8_t             *out);
+size_t cy__server_notice__pack_to_buffer
+                     (const Cy__ServerNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Cy__ServerNotice *
+       cy__server_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cy__server_notice__free_unpacked
+                     (Cy__ServerNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Cy__EntryVm methods */
 void   cy__entry_vm__init
                      (Cy__EntryVm         *message);
@@ -3542,6 +3601,9 @@
 typedef void (*Cy__Instance_Closure)
                  (const Cy__Instance *message,
                   void *closure_data);
+typedef void (*Cy__ServerNotice_Closure)
+                 (const Cy__ServerNotice *message,
+                  void *closure_data);
 typedef void (*Cy__EntryVm_Closure)
                  (const Cy__EntryVm *message,
                   void *closure_data);
@@ -3659,6 +3721,7 @@
 extern const ProtobufCMessageDescriptor cy__raft_founding__descriptor;
 extern const ProtobufCMessageDescriptor cy__raft_message__descriptor;
 extern const ProtobufCMessageDescriptor cy__instance__descriptor;
+extern const ProtobufCMessageDescriptor cy__server_notice__descriptor;
 extern const ProtobufCMessageDescriptor cy__entry_vm__descriptor;
 extern const ProtobufCMessageDescriptor cy__control_vm__descriptor;
 extern const ProtobufCMessageDescriptor cy__hub_sync__descriptor;
--- a/src/backend/cyk_serve.c
+++ b/src/backend/cyk_serve.c
@@ -67,6 +67,8 @@
   { "shed", CYK_SHED },
   { "echo-key", CYK_ECHO_KEY },
   { "refusal-twice", CYK_REFUSAL_TWICE },
+  { "leaving", CYK_LEAVING },
+  { "pause", CYK_PAUSE },
 };
 
 bool
@@ -249,6 +251,8 @@
   MHD_add_response_header (response, "X-Content-Digest", digest);
   MHD_add_response_header (response, "Content-Type", "text/plain");
   add_request_id (run, response);
+  if (run->fault == CYK_LEAVING)
+    MHD_add_response_header (response, "Cy-Leaving", "1");
   unsigned status = MHD_HTTP_OK;
   if (run->fault == CYK_ECHO_KEY)
     {
@@ -268,6 +272,8 @@
   struct MHD_Response *response = MHD_create_response_from_buffer (
       5, (void *)"busy\n", MHD_RESPMEM_PERSISTENT);
   MHD_add_response_header (response, "Cy-Not-Run", "1");
+  if (run->fault == CYK_PAUSE)
+    MHD_add_response_header (response, "Retry-After", CYK_PAUSE_S);
   add_request_id (run, response);
   enum MHD_Result result = MHD_queue_response (
       run->connection, MHD_HTTP_SERVICE_UNAVAILABLE, response);
@@ -441,6 +447,8 @@
     case CYK_SHED:
     case CYK_ECHO_KEY:
     case CYK_REFUSAL_TWICE:
+    case CYK_LEAVING:
+    case CYK_PAUSE:
       break;
     }
   return send_answer (run, method);
@@ -494,7 +502,9 @@
     return send_text (run, MHD_HTTP_OK, "ok\n");
   if (strcmp (url, "/load") == 0)
     return send_load (run);
-  if (run->fault == CYK_SHED)
+  if (run->fault == CYK_PAUSE)
+    write_record (run, method);
+  if (run->fault == CYK_SHED || run->fault == CYK_PAUSE)
     return send_shed (run);
   if (run->fault == CYK_REFUSAL_TWICE && !run->counted
       && refuse_first_request (run))
--- a/src/backend/cyk_serve.h
+++ b/src/backend/cyk_serve.h
@@ -17,6 +17,7 @@
 #include "cy_result.h"
 #include "net/cyn_loop.h"
 
+#define CYK_PAUSE_S     "1.5" /* Retry-After with the fault "pause" */
 #define CYK_LATE_MS     10000 /* service time with the fault "late" */
 #define CYK_COLD_FACTOR 5     /* factor of the service time at process start */
 #define CYK_SLOW_FACTOR 10    /* factor of the service time with slow10x */
@@ -25,18 +26,20 @@
 enum cyk_fault
 {
   CYK_NONE,
-  CYK_SILENT,       /* healthy-but-silent: runs requests, never answers */
-  CYK_LYING_LOAD,   /* lying-load: /load reports no request in flight */
-  CYK_SLOW,         /* slow10x: multiplies the service time */
-  CYK_CLOSE,        /* close-after-read: runs a request, then closes the
-                       connection without an answer */
-  CYK_RESET,        /* runs a request, then resets the connection */
-  CYK_TRUNCATE,     /* sends half of the answer body */
-  CYK_LATE,         /* answers after CYK_LATE_MS */
-  CYK_SHED,         /* refuses with 503 and Cy-Not-Run: 1 */
-  CYK_ECHO_KEY,     /* redirects to a URL that contains a key */
-  CYK_REFUSAL_TWICE /* refuses the first request of a connection and sends
-                       the refusal again when the second one starts */
+  CYK_SILENT,        /* healthy-but-silent: runs requests, never answers */
+  CYK_LYING_LOAD,    /* lying-load: /load reports no request in flight */
+  CYK_SLOW,          /* slow10x: multiplies the service time */
+  CYK_CLOSE,         /* close-after-read: runs a request, then closes the
+                        connection without an answer */
+  CYK_RESET,         /* runs a request, then resets the connection */
+  CYK_TRUNCATE,      /* sends half of the answer body */
+  CYK_LATE,          /* answers after CYK_LATE_MS */
+  CYK_SHED,          /* refuses with 503 and Cy-Not-Run: 1 */
+  CYK_ECHO_KEY,      /* redirects to a URL that contains a key */
+  CYK_REFUSAL_TWICE, /* refuses the first request of a connection and sends
+                        the refusal again when the second one starts */
+  CYK_LEAVING,       /* all answers report that the server leaves */
+  CYK_PAUSE          /* like shed, with Retry-After: CYK_PAUSE_S */
 };
 
 struct cyk_options
--- a/src/backend/main.c
+++ b/src/backend/main.c
@@ -52,7 +52,7 @@
     "file for one JSON line a request" },
   { "fault", CYU_STRING, &fault_text, "", 0, 0,
     "healthy-but-silent, lying-load, slow10x, close-after-read, reset, "
-    "truncate, late, shed, echo-key or refusal-twice" },
+    "truncate, late, shed, echo-key, refusal-twice, leaving or pause" },
   { "fault-percent", CYU_INTEGER, &serve_options.fault_percent, "100", 0, 100,
     "share of the requests with the fault" },
   { "log-json", CYU_BOOLEAN, &log_json, "false", 0, 0, "log as JSON lines" },
--- a/src/core/cyb_pool.c
+++ b/src/core/cyb_pool.c
@@ -166,8 +166,9 @@
 static bool
 is_healthy (const struct cyb_server *server, cy_time_ns now)
 {
-  return server->listed && !server->draining && !server->unhealthy
-         && server->slots > 0 && now >= server->ejected_until;
+  return server->listed && !server->draining && !server->leaving
+         && !server->unhealthy && server->slots > 0
+         && now >= server->ejected_until;
 }
 
 /* Slots that SERVER may use at its age: all after the warm-up.  */
@@ -186,8 +187,9 @@
 request_limit (const struct cyb_pool *pool, const struct cyb_server *server,
                cy_time_ns now)
 {
-  uint32_t limit
-      = now < server->shed_until ? 0 : warmed_up_slots (server, now);
+  uint32_t limit = now < MAX (server->shed_until, server->paused_until)
+                       ? 0
+                       : warmed_up_slots (server, now);
   if (pool->with_credits)
     limit = MIN (limit, now < server->credits_until ? server->credits : 0);
   if (server->recovery_limit > 0)
@@ -345,6 +347,24 @@
     }
 }
 
+void
+cyb_pool_notice (struct cyb_pool *pool, struct cyb_server *server,
+                 bool leaving, uint32_t pause_ms)
+{
+  cy_time_ns until = cy_clock_now (pool->clock) + pause_ms * CY_NS_PER_MS;
+  server->leaving = server->leaving || leaving;
+  if (pause_ms > 0)
+    server->paused_until = MAX (server->paused_until, until);
+}
+
+bool
+cyb_pool_may_send (const struct cyb_pool *pool,
+                   const struct cyb_server *server)
+{
+  return !server->leaving
+         && cy_clock_now (pool->clock) >= server->paused_until;
+}
+
 void
 cyb_pool_set_credits (struct cyb_pool *pool, struct cyb_server *server,
                       uint32_t credits, cy_time_ns until)
--- a/src/core/cyb_pool.h
+++ b/src/core/cyb_pool.h
@@ -66,6 +66,8 @@
   cy_time_ns ejected_until;       /* no requests before then */
   uint32_t consecutive_refusals;  /* refusals since the last answer */
   cy_time_ns shed_until;     /* no requests before then, after a refusal */
+  bool leaving;              /* the server reported that it leaves */
+  cy_time_ns paused_until;   /* no requests before then, as the server asked */
   uint32_t recovery_limit;   /* requests at a time after a fault, rises by 1
                                 with each answer, 0: no limit */
   cy_time_ns started_at;     /* time at which the server started */
@@ -115,6 +117,15 @@
 void cyb_pool_finish_request (struct cyb_pool *pool, struct cyb_server *server,
                               enum cyb_outcome ending, cy_time_ns answer_ns);
 
+/* Records what SERVER reported with an answer: that it leaves, and for how
+   many ms it wants no request, 0: none.  */
+void cyb_pool_notice (struct cyb_pool *pool, struct cyb_server *server,
+                      bool leaving, uint32_t pause_ms);
+
+/* True when SERVER takes further requests according to its notices.  */
+bool cyb_pool_may_send (const struct cyb_pool *pool,
+                        const struct cyb_server *server);
+
 /* Sets the credits that the zone granted at SERVER; UNTIL is the end of their
    lease.  */
 void cyb_pool_set_credits (struct cyb_pool *pool, struct cyb_server *server,
--- a/src/core/cyc_register.c
+++ b/src/core/cyc_register.c
@@ -181,10 +181,12 @@
 replace_info (struct cyc_register *reg, struct cyc_instance *held,
               const Cy__Instance *info, cy_time_ns sent_at)
 {
+  bool leaving = held->info->leaving || info->leaving;
   release_address (reg, held);
   g_hash_table_remove (reg->instances_by_id, held->info->id);
   cy__instance__free_unpacked (held->info, NULL);
   held->info = cy_copy (info);
+  held->info->leaving = leaving;
   g_hash_table_insert (reg->instances_by_id, held->info->id, held);
   held->cold_until = info->cold_ms == 0
                          ? 0
@@ -258,6 +260,20 @@
   return NULL;
 }
 
+enum cyc_register_effect
+cyc_register_leaving (struct cyc_register *reg, const char *id,
+                      uint64_t incarnation)
+{
+  struct cyc_instance *held = cyc_register_find (reg, id);
+  if (held == NULL || held->info->born != incarnation || held->info->gone)
+    return CYC_STALE;
+  if (held->info->leaving)
+    return CYC_RENEWED;
+  held->info->leaving = true;
+  held->sequence = ++reg->sequence;
+  return CYC_CHANGED;
+}
+
 enum cyc_register_effect
 cyc_register_instance (struct cyc_register *reg, const Cy__Instance *info,
                        bool direct, cy_time_ns now)
@@ -270,9 +286,12 @@
   bool same_incarnation = held != NULL && info->born == held->info->born;
   if (held != NULL && info->born < held->info->born)
     return CYC_STALE;
+  bool leaves_now
+      = info->leaving
+        && cyc_register_leaving (reg, info->id, info->born) == CYC_CHANGED;
   if (same_incarnation
       && (held->info->gone || info->sequence < held->info->sequence))
-    return CYC_STALE;
+    return leaves_now ? CYC_CHANGED : CYC_STALE;
   if (!claim_address (reg, info))
     return CYC_STALE;
   if (is_new && held != NULL)
@@ -285,7 +304,7 @@
   if (direct)
     held->last_direct = MAX (held->last_direct, sent_at);
   if (!changed)
-    return CYC_RENEWED;
+    return leaves_now ? CYC_CHANGED : CYC_RENEWED;
   held->sequence = ++reg->sequence;
   return CYC_CHANGED;
 }
--- a/src/core/cyc_register.h
+++ b/src/core/cyc_register.h
@@ -79,6 +79,12 @@
                                                 const Cy__Instance *info,
                                                 bool direct, cy_time_ns now);
 
+/* Records that INCARNATION of server ID reported in an answer that it leaves.
+   This holds until a later incarnation of the server announces itself.  */
+enum cyc_register_effect cyc_register_leaving (struct cyc_register *reg,
+                                               const char *id,
+                                               uint64_t incarnation);
+
 /* Applies a report of an entry VM at NOW, otherwise like
    cyc_register_instance.  */
 enum cyc_register_effect cyc_register_entry (struct cyc_register *reg,
--- a/src/core/cym_choose.c
+++ b/src/core/cym_choose.c
@@ -66,8 +66,8 @@
 bool
 cym_is_usable (const struct cym_server *server, cy_time_ns now)
 {
-  return server->listed && !server->draining && server->slots > 0
-         && (server->local || server->borrowed > 0)
+  return server->listed && !server->draining && !server->leaving
+         && server->slots > 0 && (server->local || server->borrowed > 0)
          && server->ejected_until <= now;
 }
 
@@ -152,6 +152,7 @@
 {
   return cym_has_free_slot (match, server, now)
          && cym_is_region_allowed (server, request)
+         && cym_pause_left (server, request->entry_vm, now) == 0
          && (server->local
              || cym_spillover_is_allowed (match, request, server, now))
          && has_cold_token (match, server, now);
@@ -233,6 +234,7 @@
     if (!cym_is_usable (server, now) || server->on_probation
         || server->cold_until > now || !cym_is_region_allowed (server, request)
         || !cym_is_cached (server, request->affinity)
+        || cym_pause_left (server, request->entry_vm, now) > 0
         || cym_capacity (match, server, now) < 1)
       continue;
     double server_finish_ns = cym_expected_wait_ns (match, server, now)
--- a/src/core/cym_health.c
+++ b/src/core/cym_health.c
@@ -142,9 +142,12 @@
 }
 
 void
-cym_load_record (struct cym_server *server, const struct cym_load *load,
-                 cy_time_ns now)
+cym_load_record (struct cym_server *server, uint64_t entry_vm,
+                 const struct cym_load *load, cy_time_ns now)
 {
+  server->leaving = server->leaving || load->leaving;
+  if (load->pause_ms > 0)
+    cym_pause_set (server, entry_vm, now + load->pause_ms * CY_NS_PER_MS, now);
   if (load->cold_ms > 0)
     server->cold_until
         = MAX (server->cold_until,
--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -215,9 +215,23 @@
                              struct cym_request *request,
                              cy_time_ns answer_time, cy_time_ns now);
 
-/* Stores the load that SERVER reported with an answer.  */
-void cym_load_record (struct cym_server *server, const struct cym_load *load,
-                      cy_time_ns now);
+/* Stores what SERVER reported with an answer to a request of ENTRY_VM.  */
+void cym_load_record (struct cym_server *server, uint64_t entry_vm,
+                      const struct cym_load *load, cy_time_ns now);
+
+/* ---- cym_pause.c */
+
+/* Lets SERVER get no request of ENTRY_VM before UNTIL; an earlier pause that
+   ends later stays.  */
+void cym_pause_set (struct cym_server *server, uint64_t entry_vm,
+                    cy_time_ns until, cy_time_ns now);
+
+/* Rest of the pause of SERVER for ENTRY_VM in ns, 0: none.  */
+cy_time_ns cym_pause_left (const struct cym_server *server, uint64_t entry_vm,
+                           cy_time_ns now);
+
+/* Removes all pauses of SERVER.  */
+void cym_pause_clear (struct cym_server *server);
 
 /* ---- cym_queue.c */
 
@@ -242,10 +256,11 @@
 struct cym_request *cym_queue_next (struct cym_match *match,
                                     struct cym_server *server, cy_time_ns now);
 
-/* Retry-After in ms for a refused request of SERVICE: the expected time until
-   a slot is free, plus a random part.  */
+/* Retry-After in ms for REQUEST, which is refused: the expected time until a
+   slot is free, plus a random part; not before the first pause of the servers
+   ends if all of them are paused.  */
 uint32_t cym_queue_retry_after_ms (const struct cym_match *match,
-                                   const struct cym_service *service,
+                                   const struct cym_request *request,
                                    cy_time_ns now);
 
 /* Applies the decay of STATS up to NOW.  */
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -20,6 +20,13 @@
   g_free (stats);
 }
 
+static void
+server_free (struct cym_server *server)
+{
+  cym_pause_clear (server);
+  g_free (server);
+}
+
 static void
 service_free (gpointer data)
 {
@@ -29,7 +36,7 @@
   CK_LIST_FOREACH_SAFE (server, &service->servers, entry, next)
   {
     CK_LIST_REMOVE (server, entry);
-    g_free (server);
+    server_free (server);
   }
   g_hash_table_destroy (service->routes);
   g_hash_table_destroy (service->remote_regions);
@@ -273,8 +280,7 @@
                 cy_result result, cy_time_ns now)
 {
   cym_demand_record_refused (request);
-  request->retry_after_ms
-      = cym_queue_retry_after_ms (match, request->service_state, now);
+  request->retry_after_ms = cym_queue_retry_after_ms (match, request, now);
   return result;
 }
 
@@ -363,10 +369,20 @@
   cym_health_record (server, outcome, now);
   if (outcome == CYM_ANSWERED && answer_time > 0)
     cym_answer_time_record (server, request, answer_time, now);
-  cym_load_record (server, load, now);
+  cym_load_record (server, request->entry_vm, load, now);
   serve_waiting (match, server, now);
 }
 
+void
+cym_match_notice (struct cym_match *match, const char *id,
+                  uint64_t incarnation, uint64_t entry_vm,
+                  const struct cym_load *load, cy_time_ns now)
+{
+  struct cym_server *server = cym_match_find (match, id);
+  if (server != NULL && server->incarnation == incarnation)
+    cym_load_record (server, entry_vm, load, now);
+}
+
 /* ------------------------------------------------------------ time */
 
 static struct cym_request *
@@ -575,7 +591,7 @@
     if (g_hash_table_lookup (match->by_id, server->id) == server)
       g_hash_table_remove (match->by_id, server->id);
     CK_LIST_REMOVE (server, entry);
-    g_free (server);
+    server_free (server);
   }
 }
 
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -47,7 +47,7 @@
   CYM_CANCELLED     /* the caller ended it: no evidence about the server */
 };
 
-/* Load that a server reports with an answer.  */
+/* What a server reports about itself with an answer.  */
 struct cym_load
 {
   bool known;       /* the answer carried the three counts that follow */
@@ -55,6 +55,9 @@
   uint32_t waiting; /* requests that wait inside the server */
   uint32_t slots;   /* requests that the server can run at once */
   uint32_t cold_ms; /* remaining time of the cold start, 0: not reported */
+  bool leaving;     /* the incarnation is about to end */
+  /* Time for which the server wants no request of the entry VM, 0: none.  */
+  uint32_t pause_ms;
 };
 
 /* One server of the register.  Strings belong to the caller.  */
@@ -84,6 +87,14 @@
   uint64_t sequence; /* object_sequence of the latest request for it */
 };
 
+/* Time in which a server gets no request of one entry VM.  */
+struct cym_pause
+{
+  CK_LIST_ENTRY (cym_pause) entry;
+  uint64_t entry_vm; /* see struct cym_request */
+  cy_time_ns until;
+};
+
 /* One incarnation of a server.  Only the matcher changes the fields.  */
 struct cym_server
 {
@@ -97,7 +108,9 @@
   uint64_t incarnation; /* start time in Unix ms, distinguishes incarnations */
   uint32_t slots;       /* requests that the server can run at once */
   bool draining;        /* the server gets no new requests */
-  bool listed;          /* the latest register update contained the server */
+  bool leaving;         /* so does one that reported that it leaves */
+  CK_LIST_HEAD (cym_pauses, cym_pause) pauses;
+  bool listed; /* the latest register update contained the server */
 
   /* True: the server is in this matcher's region.  False: it is in another
      region, and this matcher may use borrowed slots only.  */
@@ -163,6 +176,7 @@
   const char *route;
   const char *workspace; /* "" on open routes */
   const char *zone;      /* availability zone of the entry VM */
+  uint64_t entry_vm;     /* hash of the entry VM's name, for pauses */
   const char *avoid;     /* server used only if no other is free, or NULL */
   uint32_t rank;         /* priority, 0 is the most urgent */
   uint32_t route_rank;   /* priority among requests of equal rank */
@@ -288,6 +302,13 @@
                        enum cym_outcome outcome, cy_time_ns answer_time,
                        const struct cym_load *load, cy_time_ns now);
 
+/* Records what INCARNATION of server ID reported to ENTRY_VM besides the ends
+   of requests that this matcher placed.  Ignored when this matcher does not
+   have that incarnation.  */
+void cym_match_notice (struct cym_match *match, const char *id,
+                       uint64_t incarnation, uint64_t entry_vm,
+                       const struct cym_load *load, cy_time_ns now);
+
 /* Gives free slots to waiting requests and ends the waits that are over.  The
    caller calls it at the time that cym_match_next_tick returns.  */
 void cym_match_tick (struct cym_match *match, cy_time_ns now);
--- a/src/core/cym_queue.c
+++ b/src/core/cym_queue.c
@@ -158,23 +158,33 @@
 
 /* ------------------------------------------------------------ estimates */
 
-/* Returns the requests per second that the servers of SERVICE can finish, of
-   those in regions that are allowed to serve REQUEST.  Sets SHORTEST_NS to the
-   shortest expected answer time of REQUEST, INFINITY if no server takes it.
-   REQUEST may be NULL: all servers, no answer time.  */
-static double
-total_service_rate (const struct cym_match *match,
-                    const struct cym_service *service,
-                    const struct cym_request *request, cy_time_ns now,
-                    double *shortest_ns)
+/* Servers that may serve one request.  */
+struct candidates
 {
+  double rate_per_s;  /* requests that the unpaused ones can finish */
+  double shortest_ns; /* shortest expected answer time, INFINITY if no server
+                         takes the request */
+  /* Until the first pause ends, if all of them are paused; 0 otherwise.  */
+  cy_time_ns pause_left;
+};
+
+static struct candidates
+survey_candidates (const struct cym_match *match,
+                   const struct cym_request *request, cy_time_ns now)
+{
+  const struct cym_service *service = request->service_state;
   const struct cym_server *server = NULL;
-  double total_rate = 0;
-  *shortest_ns = INFINITY;
+  struct candidates all = { .shortest_ns = INFINITY, .pause_left = INT64_MAX };
   CK_LIST_FOREACH (server, &service->servers, entry)
   {
     if (!cym_is_usable (server, now)
-        || (request != NULL && !cym_is_region_allowed (server, request)))
+        || !cym_is_region_allowed (server, request))
+      continue;
+    cy_time_ns pause_left = cym_pause_left (server, request->entry_vm, now);
+    all.shortest_ns = fmin (all.shortest_ns,
+                            cym_expected_answer_ns (server, request, now));
+    all.pause_left = MIN (all.pause_left, pause_left);
+    if (pause_left > 0)
       continue;
     double expected_ns = service->service_time_ns > 0
                              ? service->service_time_ns
@@ -186,24 +196,23 @@
                                    / service_time_ns;
     if (server->cold_until > now && service->cold_per_s > 0)
       server_rate = fmin (server_rate, service->cold_per_s * match->share);
-    total_rate += server_rate;
-    if (request != NULL)
-      *shortest_ns
-          = fmin (*shortest_ns, cym_expected_answer_ns (server, request, now));
+    all.rate_per_s += server_rate;
   }
-  return total_rate;
+  if (all.pause_left == INT64_MAX)
+    all.pause_left = 0;
+  return all;
 }
 
 uint32_t
 cym_queue_retry_after_ms (const struct cym_match *match,
-                          const struct cym_service *service, cy_time_ns now)
+                          const struct cym_request *request, cy_time_ns now)
 {
-  double shortest_ns;
-  double rate_per_s
-      = total_service_rate (match, service, NULL, now, &shortest_ns);
+  const struct cym_service *service = request->service_state;
+  const struct candidates all = survey_candidates (match, request, now);
   double retry_after_ms
-      = rate_per_s <= 0 ? 500.0
-                        : 1000.0 * (service->waiting_count + 1) / rate_per_s;
+      = all.rate_per_s <= 0
+            ? 500.0
+            : 1000.0 * (service->waiting_count + 1) / all.rate_per_s;
   /* Other callers that were refused recently return as well, so Retry-After is
      at least half of an answer time.  */
   double service_time_ms = service->service_time_ns / (double)CY_NS_PER_MS;
@@ -211,8 +220,10 @@
   double spread
       = (double)cy_random_below (match->options.random, 1000) / 1000.0;
   retry_after_ms *= 1 + RETRY_AFTER_SPREAD * spread;
-  return (uint32_t)fmin (fmax (retry_after_ms, RETRY_AFTER_MIN_MS),
-                         RETRY_AFTER_MAX_MS);
+  retry_after_ms
+      = fmin (fmax (retry_after_ms, RETRY_AFTER_MIN_MS), RETRY_AFTER_MAX_MS);
+  return (uint32_t)fmax (retry_after_ms,
+                         (double)all.pause_left / (double)CY_NS_PER_MS);
 }
 
 /* Number of waiting requests of SERVICE that go before REQUEST, of which the
@@ -261,14 +272,12 @@
                  bool late, cy_time_ns now)
 {
   struct cym_service *service = request->service_state;
-  double shortest_ns;
-  double rate_per_s
-      = total_service_rate (match, service, request, now, &shortest_ns);
-  if (isinf (shortest_ns))
+  const struct candidates all = survey_candidates (match, request, now);
+  if (isinf (all.shortest_ns))
     return CY_E_NO_BACKEND;
-  double goal_slack_ns = (double)(request->goal_at - now) - shortest_ns;
+  double goal_slack_ns = (double)(request->goal_at - now) - all.shortest_ns;
   double deadline_slack_ns
-      = (double)(request->deadline_at - now) - shortest_ns;
+      = (double)(request->deadline_at - now) - all.shortest_ns;
   double past_goal_ns = late ? 0 : (double)request->wait_past_goal;
   double wait_max_ns
       = fmin (fmax (goal_slack_ns, past_goal_ns), deadline_slack_ns);
@@ -276,9 +285,10 @@
     return deadline_slack_ns <= 0 ? CY_E_DEADLINE : CY_E_NO_ROOM;
   if (service->waiting_count >= WAITING_MAX_COUNT)
     return CY_E_QUEUE_FULL;
-  unsigned ahead = count_ahead (match, service, request, shortest_ns, now);
-  double wait_ns
-      = rate_per_s <= 0 ? 0 : (ahead + 0.5) * (double)CY_NS_PER_S / rate_per_s;
+  unsigned ahead = count_ahead (match, service, request, all.shortest_ns, now);
+  double wait_ns = all.rate_per_s <= 0
+                       ? (double)all.pause_left
+                       : (ahead + 0.5) * (double)CY_NS_PER_S / all.rate_per_s;
   if (wait_ns * WAIT_MARGIN_FACTOR > wait_max_ns)
     return CY_E_NO_ROOM;
   enqueue (request, NULL, now + (cy_time_ns)wait_max_ns);
--- a/src/cyctl/cyctl_timeline.c
+++ b/src/cyctl/cyctl_timeline.c
@@ -269,6 +269,13 @@
         "the connection to backend server %s broke after the request was "
         "sent",
         instance);
+  int64_t pause_ms = get_number (fields, "pause_ms");
+  if (get_flag (fields, "server_leaves"))
+    g_string_append (out, "; the server leaves");
+  if (pause_ms > 0)
+    g_string_append_printf (out,
+                            "; the server asked for %.1f s without requests",
+                            (double)pause_ms / 1000);
   if (get_flag (fields, "kept_connection"))
     g_string_append (out, ", on a kept connection");
   if (request_lines->failed_attempts > 1)
--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -20,8 +20,8 @@
   size_t head_bytes; /* of all answer heads, interim ones too */
   struct cye_buffer body;
   bool opened_connection; /* libcurl opened a connection for the call */
-  bool expired;           /* SEND_BY had passed when it was to be sent */
-  int send_count;         /* times that libcurl sent the request: 0 or 1 */
+  bool expired;   /* it was not sent: SEND_BY or MAY_SEND of the options */
+  int send_count; /* times that libcurl sent the request: 0 or 1 */
   cy_time_ns sent_at;
   cy_time_ns first_byte_at;
   cy_time_ns ended_at;
@@ -99,7 +99,10 @@
   cy_time_ns now = cy_clock_now (call->options.clock);
   if (call->send_count > 0)
     return CURL_PREREQFUNC_ABORT;
-  call->expired = call->options.send_by != 0 && now > call->options.send_by;
+  const struct cye_call_options *options = &call->options;
+  call->expired = (options->send_by != 0 && now > options->send_by)
+                  || (options->may_send != NULL
+                      && !options->may_send (options->context));
   if (call->expired)
     return CURL_PREREQFUNC_ABORT;
   call->send_count++;
--- a/src/entry/cye_call.h
+++ b/src/entry/cye_call.h
@@ -77,6 +77,9 @@
   int64_t timeout_ms;        /* of the whole call */
   cy_time_ns send_by;        /* monotonic time after which the request is not
                                 sent, 0: no limit */
+  /* Called before the request is sent; false: it is not sent, as after
+     SEND_BY. NULL: it is sent.  Runs inside of libcurl.  */
+  bool (*may_send) (void *context);
   const struct cy_clock *clock;
   /* Called when data was received or sent, or the call ended.  Runs inside of
      libcurl, so it must only schedule CONTEXT for later.  */
@@ -123,7 +126,8 @@
 /* True when a byte of the request may have reached the backend server.  */
 bool cye_call_sent (const struct cye_call *call);
 
-/* True when the request was not sent because SEND_BY had passed.  */
+/* True when the request was not sent because SEND_BY had passed or MAY_SEND
+   returned false.  */
 bool cye_call_expired (const struct cye_call *call);
 
 /* True when the request was sent on a persistent connection.  */
--- a/src/entry/cye_classify.c
+++ b/src/entry/cye_classify.c
@@ -4,6 +4,11 @@
 #include <string.h>
 #include <strings.h>
 
+#include <jansson.h>
+
+#include "base/cyu_log.h"
+#include "base/cyu_metrics.h"
+#include "core/cym_notices.h"
 #include "entry/cye_request_internal.h"
 
 const char *
@@ -15,6 +20,48 @@
   return NULL;
 }
 
+static void
+count_notice (const char *kind)
+{
+  char *labels = g_strdup_printf ("kind=\"%s\"", kind);
+  cyu_metric_add (cyu_counter ("cy_entry_server_notices_total", labels,
+                               "answers in which a backend server asked for "
+                               "fewer requests"),
+                  1);
+  g_free (labels);
+}
+
+/* Logs that header NAME with VALUE, which has no meaning here, is ignored.  */
+static void
+ignore_notice (const struct cye_request *request, const char *name,
+               const char *value)
+{
+  count_notice ("ignored");
+  cyu_event (CYU_FAULT, "server_notice_ignored", "{ss ss ss}", "instance",
+             request->ticket.instance, "header", name, "value", value);
+}
+
+/* Reads whether the server leaves and for how long it wants no request.  */
+static void
+read_notices (const struct cye_request *request,
+              const struct cye_answer_head *head, struct cym_load *out)
+{
+  const struct cye_names *names = request->shared->names;
+  const char *leaving = cye_answer_header (head, names->leaving);
+  const char *pause = cye_answer_header (head, names->pause);
+  out->leaving = leaving != NULL && strcmp (leaving, "1") == 0;
+  if (out->leaving)
+    count_notice ("leaving");
+  else if (leaving != NULL)
+    ignore_notice (request, names->leaving, leaving);
+  if (head->status != 503 || pause == NULL)
+    return;
+  if (cym_pause_parse (pause, &out->pause_ms))
+    count_notice ("pause");
+  else
+    ignore_notice (request, names->pause, pause);
+}
+
 /* Reads the load header, "running,waiting,slots", and the ms for which the
    server's cold start lasts.  */
 static void
@@ -148,7 +195,11 @@
     read_load (request, head);
   if (!cye_is_valid_answer (request, head))
     return CYE_INVALID;
+  bool misdirected = hub && head->status == 421 && is_refusal (request, head);
+  if (misdirected)
+    return CYE_MISDIRECTED;
+  read_notices (request, head, &request->load);
   if (is_refusal (request, head))
-    return hub && head->status == 421 ? CYE_MISDIRECTED : CYE_DECLINED;
+    return CYE_DECLINED;
   return hub && head->status >= 500 ? CYE_FAILED : CYE_GOOD;
 }
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -38,6 +38,12 @@
   return cye_is_valid_answer (context, head);
 }
 
+static bool
+may_send (void *context)
+{
+  return cye_place_may_send (context);
+}
+
 static void
 add_line (struct cye_request *request, const char *name, const char *value)
 {
@@ -161,6 +167,7 @@
   bool new_connection = record_address (request);
   request->attempt_count++;
   request->stage = CYE_CALLING;
+  memset (&request->load, 0, sizeof request->load);
   bool has_body = request->body_length != CYE_LENGTH_NONE;
   struct cye_call_options options = {
     .client = cye_worker_client (request->worker),
@@ -181,6 +188,7 @@
     .clock = request->shared->clock,
     .on_change = on_change,
     .accepts = accepts_answer,
+    .may_send = may_send,
     .context = request,
   };
   request->call = cye_call_create (&options);
@@ -291,18 +299,19 @@
       || !cyu_event_wanted (CYU_FAULT, "attempt_failed"))
     return;
   cye_call_times (request->call, &times);
-  cyu_event (CYU_FAULT, "attempt_failed",
-             "{ss? ss ss ss si sI ss si sb sb sb sb si si}", "id",
-             request->request_id, "workspace", request->workspace, "service",
-             request->target.service, "instance", request->ticket.instance,
-             "attempt", request->attempt_count, "born",
-             (json_int_t)request->place.incarnation, "result",
-             cy_result_name (result), "status",
-             cye_call_head (request->call)->status, "sent",
-             cye_call_sent (request->call), "kept_connection",
-             cye_call_reused (request->call), "not_run", declined, "again",
-             again, "connect_ms", (int)(times.connect / CY_NS_PER_MS),
-             "first_byte_ms", (int)(times.first_byte / CY_NS_PER_MS));
+  cyu_event (
+      CYU_FAULT, "attempt_failed",
+      "{ss? ss ss ss si sI ss si sb sb sb sb si si sb si}", "id",
+      request->request_id, "workspace", request->workspace, "service",
+      request->target.service, "instance", request->ticket.instance, "attempt",
+      request->attempt_count, "born", (json_int_t)request->place.incarnation,
+      "result", cy_result_name (result), "status",
+      cye_call_head (request->call)->status, "sent",
+      cye_call_sent (request->call), "kept_connection",
+      cye_call_reused (request->call), "not_run", declined, "again", again,
+      "connect_ms", (int)(times.connect / CY_NS_PER_MS), "first_byte_ms",
+      (int)(times.first_byte / CY_NS_PER_MS), "server_leaves",
+      request->load.leaving, "pause_ms", (int)request->load.pause_ms);
 }
 
 /* True when the request's body can be sent again.  */
@@ -388,7 +397,10 @@
 static bool
 handle_answer_head (struct cye_request *request)
 {
-  switch (cye_classify_answer (request))
+  enum cye_verdict verdict = cye_classify_answer (request);
+  if (verdict != CYE_INVALID && verdict != CYE_MISDIRECTED)
+    cye_place_notice (request);
+  switch (verdict)
     {
     case CYE_GOOD:
       break;
--- a/src/entry/cye_health.c
+++ b/src/entry/cye_health.c
@@ -18,11 +18,13 @@
   unsigned failures; /* consecutive failed probes */
   bool in_flight;    /* a probe is unanswered */
   bool is_listed;    /* the pool held the server in the last round */
+  bool is_paused;    /* the server wants no requests for a time */
 };
 
 struct cye_health
 {
   struct cye_slots *slots;
+  const struct cy_clock *clock;
   struct cyh_client *client;
   struct cyn_timer *timer;
   GHashTable *probes; /* "SERVICE/INSTANCE/INCARNATION" -> struct probe */
@@ -67,6 +69,7 @@
       g_hash_table_insert (health->probes, g_strdup (name), probe);
     }
   probe->is_listed = true;
+  probe->is_paused = cy_clock_now (health->clock) < server->paused_until;
   g_free (name);
 }
 
@@ -128,8 +131,11 @@
   g_hash_table_foreach_remove (health->probes, is_removable, NULL);
   g_hash_table_iter_init (&iter, health->probes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!((struct probe *)value)->in_flight)
-      send_probe (health, value);
+    {
+      struct probe *probe = value;
+      if (!probe->in_flight && !probe->is_paused)
+        send_probe (health, probe);
+    }
   cyn_timer_start (health->timer, CYE_HEALTH_INTERVAL_MS);
 }
 
@@ -138,6 +144,7 @@
 {
   struct cye_health *health = g_new0 (struct cye_health, 1);
   health->slots = slots;
+  health->clock = cyn_loop_clock (loop);
   health->probes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, probe_free);
   struct cyh_client_options client
--- a/src/entry/cye_hub.c
+++ b/src/entry/cye_hub.c
@@ -46,9 +46,13 @@
   report.sequence = link->sequence;
   report.attached = hub->placer == link;
   report.number = ++hub->report_number;
+  if (report.attached && link->notices_due)
+    cye_hub_place_fill_notices (hub, &report);
   envelope.body_case = CY__ENVELOPE__BODY_ENTRY_REPORT;
   envelope.entry_report = &report;
-  cyn_conn_send (link->conn, &envelope);
+  if (cyn_conn_send (link->conn, &envelope) == CY_OK && report.attached)
+    link->notices_due = false;
+  cye_hub_place_clear_notices (&report);
   link->last_reported = cye_hub_now (hub);
 }
 
@@ -75,6 +79,7 @@
   link->view_received = false;
   link->epoch = 0;
   link->sequence = 0;
+  link->notices_due = true;
   cye_hub_report (link->hub, link);
 }
 
@@ -345,7 +350,10 @@
   if (before != NULL)
     cye_hub_report (hub, before);
   if (best != NULL)
-    cye_hub_report (hub, best);
+    {
+      best->notices_due = true;
+      cye_hub_report (hub, best);
+    }
   cye_hub_place_reassign (hub, before);
 }
 
--- a/src/entry/cye_hub.h
+++ b/src/entry/cye_hub.h
@@ -103,6 +103,7 @@
   uint64_t incarnation;    /* of the backend server */
   bool placed;             /* a slot is held */
   bool counted;            /* a control VM received this request before */
+  unsigned returned_count; /* slots returned because of a notice */
   cy_time_ns requested_at; /* time of cye_hub_acquire */
   struct cym_request local_request; /* used while this VM places requests */
 };
@@ -121,6 +122,14 @@
    request waits.  Any other result is a refusal.  */
 cy_result cye_hub_acquire (struct cye_hub *hub, struct cye_place *place);
 
+/* Records what the backend server of PLACE reported with an answer.  */
+void cye_hub_notice (struct cye_hub *hub, const struct cye_place *place,
+                     const struct cym_load *load);
+
+/* False when the backend server of PLACE takes no further request.  */
+bool cye_hub_may_send (const struct cye_hub *hub,
+                       const struct cye_place *place);
+
 /* Cancels a request that waits or releases its slot; the callback is not
    called any more.  */
 void cye_hub_cancel (struct cye_hub *hub, struct cye_place *place);
--- a/src/entry/cye_hub_internal.h
+++ b/src/entry/cye_hub_internal.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "core/cyc_register.h"
+#include "core/cym_notices.h"
 #include "core/cym_quota.h"
 #include "entry/cye_hub.h"
 #include "entry/cye_declaration_reader.h"
@@ -41,6 +42,7 @@
   bool leaving;             /* the control VM is stopping */
   uint64_t epoch;           /* of the control VM's register, as held here */
   uint64_t sequence;        /* newest change of that register held here */
+  bool notices_due;         /* the next report lists all notices */
 };
 
 CK_LIST_HEAD (cye_links, cye_link);
@@ -73,6 +75,7 @@
   struct cye_places local_places;   /* waiting at or placed by this VM */
   struct cym_match *match;          /* local placing */
   struct cym_quota *quota;          /* local share of the workspaces' rates */
+  struct cym_notices *notices;      /* of backend servers to this VM */
   GHashTable *suspects; /* instance to monotonic cy_time_ns of its last answer
                            timeout */
 };
@@ -119,6 +122,11 @@
    count of entry VMs to local placing.  */
 void cye_hub_place_update (struct cye_hub *hub);
 
+/* Adds the notices in force to REPORT.  cye_hub_place_clear_notices frees
+   them.  */
+void cye_hub_place_fill_notices (struct cye_hub *hub, Cy__EntryReport *report);
+void cye_hub_place_clear_notices (Cy__EntryReport *report);
+
 /* Monotonic time at which the oldest request that waits at a control VM was
    sent, 0 if none waits.  */
 cy_time_ns cye_hub_place_oldest_at (const struct cye_hub *hub);
--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -1,12 +1,95 @@
 /* Slot requests of the hub layout: sends them to the placer, or places them on
    this VM while there is no placer.  */
 
+#include <inttypes.h>
+#include <jansson.h>
 #include <string.h>
 
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
 #include "entry/cye_hub_internal.h"
 
+/* Slots at servers that take no further request which a request may return
+   before it is refused.  */
+#define RETURNED_MAX_COUNT 8
+
+/* ------------------------------------------------------------ notices */
+
+void
+cye_hub_notice (struct cye_hub *hub, const struct cye_place *place,
+                const struct cym_load *load)
+{
+  cy_time_ns now = cye_hub_now (hub);
+  switch (cym_notices_record (hub->notices, place->instance,
+                              place->incarnation, load, now))
+    {
+    case CYM_NOTICE_UNCHANGED:
+      return;
+    case CYM_NOTICE_LEAVING:
+      cyu_event (CYU_CHANGE, "server_leaves", "{ss sI ss?}", "instance",
+                 place->instance, "born", (json_int_t)place->incarnation,
+                 "request", place->request_id);
+      break;
+    case CYM_NOTICE_PAUSED:
+      cyu_event (CYU_CHANGE, "server_paused", "{ss sI si ss?}", "instance",
+                 place->instance, "born", (json_int_t)place->incarnation,
+                 "for_ms", (int)load->pause_ms, "request", place->request_id);
+      break;
+    }
+  cym_match_notice (hub->match, place->instance, place->incarnation, 0, load,
+                    now);
+}
+
+bool
+cye_hub_may_send (const struct cye_hub *hub, const struct cye_place *place)
+{
+  return cym_notices_allow (hub->notices, place->instance, place->incarnation,
+                            cye_hub_now (hub));
+}
+
+/* Notice of INCARNATION of server ID in the form of a report at NOW.  */
+struct notice_list
+{
+  GPtrArray *notices; /* Cy__ServerNotice */
+  cy_time_ns now;
+};
+
+static void
+list_notice (const char *id, uint64_t incarnation,
+             const struct cym_notice *notice, void *context)
+{
+  struct notice_list *list = context;
+  Cy__ServerNotice *copy = g_new (Cy__ServerNotice, 1);
+  cy__server_notice__init (copy);
+  copy->id = g_strdup (id);
+  copy->born = incarnation;
+  copy->leaving = notice->leaving;
+  copy->pause_ms
+      = (uint32_t)(MAX (notice->paused_until - list->now, 0) / CY_NS_PER_MS);
+  g_ptr_array_add (list->notices, copy);
+}
+
+void
+cye_hub_place_fill_notices (struct cye_hub *hub, Cy__EntryReport *report)
+{
+  struct notice_list list = { g_ptr_array_new (), cye_hub_now (hub) };
+  cym_notices_each (hub->notices, list.now, list_notice, &list);
+  report->n_notices = list.notices->len;
+  report->notices
+      = (Cy__ServerNotice **)(void *)g_ptr_array_free (list.notices, FALSE);
+}
+
+void
+cye_hub_place_clear_notices (Cy__EntryReport *report)
+{
+  for (size_t i = 0; i < report->n_notices; i++)
+    {
+      g_free (report->notices[i]->id);
+      g_free (report->notices[i]);
+    }
+  g_free (report->notices);
+}
+
 /* ------------------------------------------------------------ local */
 
 static void
@@ -152,6 +235,8 @@
       done.waiting = load->waiting;
       done.slots = load->slots;
       done.cold_ms = load->cold_ms;
+      done.leaving = load->leaving;
+      done.pause_ms = load->pause_ms;
     }
   envelope.body_case = CY__ENVELOPE__BODY_PLACE_DONE;
   envelope.place_done = &done;
@@ -166,6 +251,34 @@
   place->placer = CYE_PLACER_NONE;
 }
 
+static struct cym_load
+notice_of (const struct cye_hub *hub, const struct cye_place *place)
+{
+  cy_time_ns now = cye_hub_now (hub);
+  struct cym_notice notice
+      = cym_notices_get (hub->notices, place->instance, place->incarnation);
+  return (struct cym_load){
+    .leaving = notice.leaving,
+    .pause_ms = (uint32_t)(MAX (notice.paused_until - now, 0) / CY_NS_PER_MS),
+  };
+}
+
+/* Returns the slot of PLACE at a server that takes no further request of this
+   VM, which the placer did not know yet, and requests another one.  */
+static void
+return_slot (struct cye_hub *hub, struct cye_place *place)
+{
+  struct cym_load notice = notice_of (hub, place);
+  cy_result result = CY_E_NO_ROOM;
+  send_place_done (hub->placer, place, CYM_CANCELLED, 0, &notice);
+  remove_open (hub, place);
+  place->metered = false; /* the placer took the token with the slot */
+  if (++place->returned_count <= RETURNED_MAX_COUNT)
+    result = cye_hub_acquire (hub, place);
+  if (result != CY_E_AGAIN)
+    place->on_answer (place, result);
+}
+
 void
 cye_hub_place_answer (struct cye_hub *hub, const Cy__PlaceAnswer *answer)
 {
@@ -188,6 +301,11 @@
       place->granted_at
           = place->requested_at + answer->waited_ms * CY_NS_PER_MS;
       set_suspect (hub, place);
+      if (!cye_hub_may_send (hub, place))
+        {
+          return_slot (hub, place);
+          return;
+        }
     }
   else
     remove_open (hub, place);
@@ -367,7 +485,8 @@
     .region = region,
     .incarnation = source->born,
     .slots = source->slots,
-    .draining = source->draining || is_drained (hub, source->zone),
+    .draining
+    = source->draining || source->leaving || is_drained (hub, source->zone),
     .cold_ms = cyc_instance_cold_ms (instance, now),
   };
   cym_match_put_server (hub->match, &info, now);
@@ -412,6 +531,7 @@
        retry is granted.  */
     .limits = { .retries = { .window = 10 * CY_NS_PER_S } },
   };
+  hub->notices = cym_notices_create ();
   hub->quota = cym_quota_create ();
   cym_quota_attach (hub->quota, &options);
   hub->match = cym_match_create (&options);
@@ -429,4 +549,5 @@
   g_hash_table_destroy (hub->suspects);
   cym_match_destroy (hub->match);
   cym_quota_destroy (hub->quota);
+  cym_notices_destroy (hub->notices);
 }
--- a/src/entry/cye_names.h
+++ b/src/entry/cye_names.h
@@ -24,6 +24,9 @@
   const char *not_run; /* reports that the request was not run */
   const char *load;    /* running, waiting and slots, separated by commas */
   const char *cold;    /* ms until the server's cold start ends */
+  const char *leaving; /* 1: the server is about to end */
+  /* With status 503: s for which the server wants no request of this VM.  */
+  const char *pause;
 
   /* Headers of callers and answers with this prefix are dropped, NULL: only
      the headers above.  */
--- a/src/entry/cye_place.c
+++ b/src/entry/cye_place.c
@@ -111,6 +111,37 @@
   return false;
 }
 
+void
+cye_place_notice (struct cye_request *request)
+{
+  const struct cym_load *load = &request->load;
+  if (!request->has_slot || (!load->leaving && load->pause_ms == 0))
+    return;
+  switch (request->shared->layout)
+    {
+    case CYE_TREE:
+      cye_slots_notice (request->shared->slots, &request->ticket,
+                        load->leaving, load->pause_ms);
+      break;
+    case CYE_HUB:
+      cye_hub_notice (request->shared->hub, &request->place, load);
+      break;
+    }
+}
+
+bool
+cye_place_may_send (const struct cye_request *request)
+{
+  switch (request->shared->layout)
+    {
+    case CYE_TREE:
+      return cye_slots_may_send (request->shared->slots, &request->ticket);
+    case CYE_HUB:
+      return cye_hub_may_send (request->shared->hub, &request->place);
+    }
+  return true;
+}
+
 /* Maps ENDING to the ending that the zone's slots count.  */
 static enum cyb_outcome
 slot_ending (enum cym_outcome ending)
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -161,6 +161,14 @@
                         cy_time_ns answer_ns, bool timed_out,
                         bool interrupted);
 
+/* Records what the backend server reported with the head of the answer, so
+   that the slots or the placer choose another server from now on.  */
+void cye_place_notice (struct cye_request *request);
+
+/* False when the backend server has reported since the slot was granted that
+   it takes no further request.  */
+bool cye_place_may_send (const struct cye_request *request);
+
 /* Verdict on an attempt by the head of the backend server's answer.  */
 enum cye_verdict
 {
--- a/src/entry/cye_slots.c
+++ b/src/entry/cye_slots.c
@@ -248,6 +248,27 @@
   g_mutex_unlock (&slots->lock);
 }
 
+void
+cye_slots_notice (struct cye_slots *slots, const struct cye_ticket *ticket,
+                  bool leaving, uint32_t pause_ms)
+{
+  g_mutex_lock (&slots->lock);
+  struct service *service = get_service (slots, ticket->service);
+  cyb_pool_notice (service->pool, ticket->server, leaving, pause_ms);
+  g_mutex_unlock (&slots->lock);
+}
+
+bool
+cye_slots_may_send (struct cye_slots *slots, const struct cye_ticket *ticket)
+{
+  g_mutex_lock (&slots->lock);
+  struct service *service = get_service (slots, ticket->service);
+  bool allowed = ticket->server == NULL
+                 || cyb_pool_may_send (service->pool, ticket->server);
+  g_mutex_unlock (&slots->lock);
+  return allowed;
+}
+
 static void
 dispatch_and_expire (struct cye_slots *slots, struct service *service)
 {
@@ -412,7 +433,8 @@
 must_report (const struct service *service, const struct cyb_server *server)
 {
   return credits_in_use (server) > 0 || server->credits_reported > 0
-         || (!server->draining && cyw_fair_queue_length (service->queue) > 0);
+         || (!server->draining && !server->leaving
+             && cyw_fair_queue_length (service->queue) > 0);
 }
 
 static Cy__SlotItem *
@@ -426,7 +448,7 @@
   item->incarnation = server->incarnation;
   item->held = server->credits_reported;
   item->used = server->in_flight;
-  item->wanted = server->draining
+  item->wanted = server->draining || server->leaving
                      ? 0
                      : (uint32_t)cyw_fair_queue_length (service->queue);
   return item;
--- a/src/entry/cye_slots.h
+++ b/src/entry/cye_slots.h
@@ -91,6 +91,16 @@
                         enum cyb_outcome ending, cy_time_ns answer_ns,
                         bool timed_out, bool interrupted);
 
+/* Records what the backend server of TICKET reported with an answer; see
+   cyb_pool_notice.  */
+void cye_slots_notice (struct cye_slots *slots,
+                       const struct cye_ticket *ticket, bool leaving,
+                       uint32_t pause_ms);
+
+/* False when the backend server of TICKET takes no further request.  */
+bool cye_slots_may_send (struct cye_slots *slots,
+                         const struct cye_ticket *ticket);
+
 /* Refuses waiting requests whose deadline has passed.  Assigns slots that
    became free without the end of a request, such as those of a server that is
    healthy again.  Loop's thread, every CYE_SLOTS_TICK_MS.  */
--- a/src/hub/cyc_announce.c
+++ b/src/hub/cyc_announce.c
@@ -77,6 +77,7 @@
            info->sequence,
            info->gone       ? "gone"
            : info->draining ? "draining"
+           : info->leaving  ? "leaving"
                             : "ready",
            info->cold_ms > 0 ? ", cold" : "");
 }
--- a/src/hub/cyc_children.c
+++ b/src/hub/cyc_children.c
@@ -4,6 +4,7 @@
    region.  */
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/cyu_log.h"
 #include "core/cyi_delta.h"
@@ -72,6 +73,7 @@
   if (child->vm == NULL)
     {
       child->vm = g_strdup (report->self->vm);
+      child->vm_hash = XXH64 (child->vm, strlen (child->vm), 0);
       child->zone = g_strdup (report->self->zone);
       child->region = g_strdup (report->self->region);
       cyu_log (G_LOG_LEVEL_INFO, "entry VM %s of zone %s is connected",
@@ -95,6 +97,8 @@
     cyu_log (G_LOG_LEVEL_INFO, "entry VM %s at %s:%u is %s", child->vm,
              report->self->host, report->self->port,
              report->self->ready ? "ready" : "not ready");
+  for (size_t i = 0; i < report->n_notices; i++)
+    cyc_dispatch_notice (hub, child, report->notices[i]);
   cyc_hub_schedule_flush (hub);
 }
 
--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -8,6 +8,7 @@
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
 #include "core/cy_copy.h"
+#include "core/cym_notices.h"
 #include "hub/cyc_internal.h"
 
 /* Interval between two checks while requests wait, ms.  */
@@ -210,6 +211,7 @@
   job->request.route = copy->route;
   job->request.workspace = copy->workspace;
   job->request.zone = copy->zone;
+  job->request.entry_vm = child->vm_hash;
   job->request.avoid = copy->avoid[0] != '\0' ? copy->avoid : NULL;
   job->request.rank = copy->rank;
   job->request.route_rank = copy->route_rank;
@@ -270,6 +272,32 @@
                server->id, "born", (json_int_t)server->incarnation);
 }
 
+/* Passes on that INCARNATION of server ID told CHILD that it leaves.  */
+static void
+mark_leaving (struct cyc_hub *hub, const struct cyc_child *child,
+              const char *id, uint64_t incarnation)
+{
+  if (cyc_register_leaving (hub->reg, id, incarnation) != CYC_CHANGED)
+    return;
+  cyu_event (CYU_CHANGE, "server_leaves", "{ss sI ss}", "instance", id, "born",
+             (json_int_t)incarnation, "entry_vm",
+             child->vm == NULL ? "" : child->vm);
+  cyc_hub_schedule_flush (hub);
+}
+
+void
+cyc_dispatch_notice (struct cyc_hub *hub, struct cyc_child *child,
+                     const Cy__ServerNotice *notice)
+{
+  struct cym_load load
+      = { .leaving = notice->leaving,
+          .pause_ms = MIN (notice->pause_ms, CYM_PAUSE_MAX_MS) };
+  if (notice->leaving)
+    mark_leaving (hub, child, notice->id, notice->born);
+  cym_match_notice (hub->match, notice->id, notice->born, child->vm_hash,
+                    &load, cyc_now (hub));
+}
+
 void
 cyc_dispatch_finish (struct cyc_hub *hub, struct cyc_child *child,
                      const Cy__PlaceDone *done)
@@ -277,15 +305,20 @@
   struct cyc_job *job = g_hash_table_lookup (child->jobs, &done->number);
   if (job == NULL)
     return;
-  struct cym_load load = { .known = done->loaded,
-                           .running = done->running,
-                           .waiting = done->waiting,
-                           .slots = done->slots,
-                           .cold_ms = done->cold_ms };
+  struct cym_load load
+      = { .known = done->loaded,
+          .running = done->running,
+          .waiting = done->waiting,
+          .slots = done->slots,
+          .cold_ms = done->cold_ms,
+          .leaving = done->leaving,
+          .pause_ms = MIN (done->pause_ms, CYM_PAUSE_MAX_MS) };
   enum cym_outcome outcome = done->ending <= CYM_CANCELLED
                                  ? (enum cym_outcome)done->ending
                                  : CYM_CANCELLED;
   const struct cym_server *server = job->request.server;
+  if (server != NULL && load.leaving)
+    mark_leaving (hub, child, server->id, server->incarnation);
   if (server != NULL)
     {
       bool was_returning = server->on_probation;
@@ -350,7 +383,8 @@
     .region = region,
     .incarnation = source->born,
     .slots = source->slots,
-    .draining = source->draining || cyc_log_is_drained (hub, source->zone),
+    .draining = source->draining || source->leaving
+                || cyc_log_is_drained (hub, source->zone),
     .cold_ms = get_cold_ms (hub, instance, now),
   };
   cym_match_put_server (hub->match, &info, now);
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -110,7 +110,8 @@
   CK_LIST_ENTRY (cyc_child) entry;
   struct cyc_hub *hub;
   struct cyn_conn *conn;
-  char *vm; /* NULL until the first report has arrived */
+  char *vm;         /* NULL until the first report has arrived */
+  uint64_t vm_hash; /* of VM, names the entry VM in the matcher */
   char *zone;
   char *region;
   struct cyi_send_schedule document_schedule;
@@ -245,6 +246,10 @@
    ones.  */
 void cyc_dispatch_disconnect (struct cyc_hub *hub, struct cyc_child *child);
 
+/* Applies what a backend server reported to CHILD.  */
+void cyc_dispatch_notice (struct cyc_hub *hub, struct cyc_child *child,
+                          const Cy__ServerNotice *notice);
+
 /* Copies the register, the drained zones and the services of the declaration
    to the matcher.  */
 void cyc_dispatch_update_servers (struct cyc_hub *hub);
--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -221,7 +221,8 @@
   {
     bool was_sent = instance->sequence <= peer->sent_sequence;
     if (was_sent
-        || !(is_direct (instance->last_direct, now) || instance->info->gone))
+        || !(is_direct (instance->last_direct, now) || instance->info->gone
+             || instance->info->leaving))
       continue;
     instance->info->age_ms
         = (uint32_t)((now - instance->last_received) / CY_NS_PER_MS);
--- a/tests/entry/test_pool.c
+++ b/tests/entry/test_pool.c
@@ -139,6 +139,45 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *pattern;
+  bool leaving;
+  uint32_t pause_ms;
+  int64_t after_ms;
+  int starts; /* requests that may start at the server after that time */
+} notice_rows[] = {
+  { "leaves", true, 0, 60000, 0 },
+  { "paused", false, 1500, 1499, 0 },
+  { "the pause is over", false, 1500, 1500, 4 },
+  { "no notice", false, 0, 0, 4 },
+};
+
+/* A server that asked for no requests in an answer gets none, also when a
+   later answer asks for nothing.  A new incarnation starts without notices. */
+START_TEST (test_notices)
+{
+  struct fixture fixture;
+  fixture_start (&fixture, false);
+  struct cyb_server *a = cyb_pool_find_server (fixture.pool, "a", 1);
+  cyb_pool_notice (fixture.pool, a, notice_rows[_i].leaving,
+                   notice_rows[_i].pause_ms);
+  cyb_pool_notice (fixture.pool, a, false, 0);
+  fixture.fake.now += notice_rows[_i].after_ms * CY_NS_PER_MS;
+  cyb_pool_begin_update (fixture.pool);
+  put_server (&fixture, "a", 1, 60000, false);
+  cyb_pool_end_update (fixture.pool);
+  int starts = start_until_full (&fixture, "a");
+  ck_assert_msg (starts == notice_rows[_i].starts, "%s: %d",
+                 notice_rows[_i].pattern, starts);
+  cyb_pool_begin_update (fixture.pool);
+  put_server (&fixture, "a", 2, 60000, false);
+  cyb_pool_end_update (fixture.pool);
+  ck_assert_int_eq (start_until_full (&fixture, "a"), 4);
+  cyb_pool_destroy (fixture.pool);
+}
+END_TEST
+
 /* A full server that refuses requests at once must not be rated the fastest:
    it gets no requests for a pause and then one at a time.  */
 START_TEST (test_shedding)
@@ -337,6 +376,7 @@
   tcase_add_test (tcase, test_ejection_and_return);
   tcase_add_test (tcase, test_cancelled_is_no_evidence);
   tcase_add_test (tcase, test_shedding);
+  tcase_add_loop_test (tcase, test_notices, 0, G_N_ELEMENTS (notice_rows));
   tcase_add_test (tcase, test_slow_server);
   tcase_add_test (tcase, test_register);
   tcase_add_loop_test (tcase, test_fair, 0, G_N_ELEMENTS (shares));
--- a/tests/explain/test_timeline.c
+++ b/tests/explain/test_timeline.c
@@ -62,6 +62,23 @@
   { { FAILED ("CY_E_KEY_UNKNOWN", "401", "not-run", "") },
     "refused by g1: CY_E_KEY_UNKNOWN; answered 401, it did not run\n",
     true },
+  /* The backend server wants no further requests.  */
+  { { AT ("01.800000") GATE
+      "\"event\":\"attempt_failed\",\"id\":\"q\",\"instance\":\"i1\","
+      "\"sent\":true,\"not_run\":true,\"server_leaves\":true,"
+      "\"pause_ms\":0}",
+      FAILED ("CY_E_BACKEND_FAILED", "503", "not-run", "") },
+    "backend server i1 said that it did not run it; the server leaves; "
+    "answered 503, it did not run\n",
+    true },
+  { { AT ("01.800000") GATE
+      "\"event\":\"attempt_failed\",\"id\":\"q\",\"instance\":\"i1\","
+      "\"sent\":true,\"not_run\":true,\"server_leaves\":false,"
+      "\"pause_ms\":2000}",
+      FAILED ("CY_E_BACKEND_FAILED", "503", "not-run", "") },
+    "backend server i1 said that it did not run it; the server asked for 2.0 "
+    "s without requests; answered 503, it did not run\n",
+    true },
   /* Timed out while the link to the backend server was cut.  */
   { { ATTEMPT ("01.850000", "CY_E_TIMEOUT", "true", "true", "false"),
       FAILED ("CY_E_TIMEOUT", "504", "unknown", "") },
--- a/tests/hub/test_register.c
+++ b/tests/hub/test_register.c
@@ -14,14 +14,15 @@
   uint32_t port;
   uint64_t born;
   uint64_t sequence;
-  char state; /* r ready, d draining, g gone */
+  char state; /* r ready, d draining, g gone, R ready, forwarded with the
+                 report that it leaves, l reports that in an answer */
   enum cyc_register_effect effect;
 };
 
 static const struct
 {
   const char *name;
-  struct announcement announcements[5];
+  struct announcement announcements[6];
   const char *live; /* ids that may be used at the end, sorted */
 } rows[] = {
   { "one server",
@@ -58,6 +59,26 @@
     { { "a", 1, 10, 1, 'r', CYC_CHANGED },
       { "a", 2, 10, 2, 'r', CYC_CHANGED } },
     "a" },
+  { "reports that it leaves, then announces itself as before",
+    { { "a", 1, 10, 1, 'r', CYC_CHANGED },
+      { "a", 1, 10, 0, 'l', CYC_CHANGED },
+      { "a", 1, 10, 2, 'r', CYC_RENEWED } },
+    "" },
+  { "reports that it leaves twice, then restarts",
+    { { "a", 1, 10, 1, 'r', CYC_CHANGED },
+      { "a", 1, 10, 0, 'l', CYC_CHANGED },
+      { "a", 1, 10, 0, 'l', CYC_RENEWED },
+      { "a", 1, 20, 1, 'r', CYC_CHANGED },
+      { "a", 1, 10, 0, 'l', CYC_STALE } },
+    "a" },
+  { "another process knows that it leaves, from an older announcement",
+    { { "a", 1, 10, 5, 'r', CYC_CHANGED },
+      { "a", 1, 10, 4, 'R', CYC_CHANGED },
+      { "a", 1, 10, 6, 'r', CYC_RENEWED } },
+    "" },
+  { "an unknown server reports that it leaves",
+    { { "a", 1, 10, 0, 'l', CYC_STALE }, { "a", 1, 10, 1, 'r', CYC_CHANGED } },
+    "a" },
   { "unknown server leaves",
     { { "a", 1, 10, 1, 'g', CYC_CHANGED }, { "a", 1, 10, 2, 'r', CYC_STALE } },
     "" },
@@ -82,6 +103,9 @@
   info.slots = 4;
   info.draining = announcement->state == 'd';
   info.gone = announcement->state == 'g';
+  info.leaving = announcement->state == 'R';
+  if (announcement->state == 'l')
+    return cyc_register_leaving (reg, info.id, info.born);
   return cyc_register_instance (reg, &info, true, now);
 }
 
@@ -102,7 +126,8 @@
     {
       char name[2] = { id, '\0' };
       const struct cyc_instance *held = cyc_register_find (reg, name);
-      if (held != NULL && !held->info->gone && !held->info->draining)
+      if (held != NULL && !held->info->gone && !held->info->draining
+          && !held->info->leaving)
         g_strlcat (live, name, sizeof live);
     }
   ck_assert_msg (strcmp (live, rows[_i].live) == 0, "%s: \"%s\" live",
