Entry VMs get views as large as what changed; traffic counted by message

Each of seven control VMs sent each entry VM all changes of the register, and the list of 18 control VMs twice a second; control VMs told each other names, all loans and all needs four times a second.

Change: servers go to the placer and to the standby, which would place next, and to all while nobody places; the list of control VMs when it changed; an entry VM's own entry when it changed. Loans go to the borrower's region, needs to lenders that place, names every 4 s.

What is left between control VMs are renewals and changes of servers, flooded to 17 others.

--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -9702,7 +9702,7 @@
   (ProtobufCMessageInit) cy__hub_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__entry_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cy__entry_report__field_descriptors[8] =
 {
   {
     "self",
@@ -9788,6 +9788,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "standby",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__EntryReport, standby),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__entry_report__field_indices_by_name[] = {
   4,   /* field[4] = attached */
@@ -9797,11 +9809,12 @@
   5,   /* field[5] = number */
   0,   /* field[0] = self */
   3,   /* field[3] = sequence */
+  7,   /* field[7] = standby */
 };
 static const ProtobufCIntRange cy__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cy__entry_report__descriptor =
 {
@@ -9811,7 +9824,7 @@
   "Cy__EntryReport",
   "cy",
   sizeof(Cy__EntryReport),
-  7,
+  8,
   cy__entry_report__field_descriptors,
   cy__entry_report__field_indices_by_name,
   1,  cy__entry_report__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -1524,6 +1524,9 @@
 struct  Cy__HubSync
 {
   ProtobufCMessage base;
+  /*
+   * Names and the zone are empty in most messages: as in an earlier one.
+   */
   Cy__ControlVm *self;
   /*
    * epoch of the sender's sequence
@@ -1551,7 +1554,7 @@
    */
   uint64_t heard_sequence;
   /*
-   * control VMs that the sender knows
+   * Control VMs that the sender knows, from time to time.
    */
   size_t n_known;
   Cy__ControlVm **known;
@@ -1579,8 +1582,14 @@
    * commit index of the leader
    */
   uint64_t committed;
+  /*
+   * to the receiver's region
+   */
   size_t n_loans;
   Cy__Loan **loans;
+  /*
+   * To control VMs of other regions that place requests.
+   */
   size_t n_slot_needs;
   Cy__SlotNeed **slot_needs;
   size_t n_token_needs;
@@ -1712,7 +1721,8 @@
 {
   ProtobufCMessage base;
   /*
-   * Control VMs, the sender first.
+   * Control VMs, the sender first; none: as in the previous view on the
+   * connection.
    */
   size_t n_controls;
   Cy__ControlVm **controls;
@@ -1729,6 +1739,9 @@
    * sequence of the register
    */
   uint64_t sequence;
+  /*
+   * Servers of the region that changed, for a receiver that asked for them.
+   */
   size_t n_instances;
   Cy__Instance **instances;
   /*
@@ -1769,6 +1782,9 @@
 struct  Cy__EntryReport
 {
   ProtobufCMessage base;
+  /*
+   * Missing: as in the previous report on the connection.
+   */
   Cy__EntryVm *self;
   /*
    * document in force at the entry VM
@@ -1795,10 +1811,15 @@
    */
   size_t n_notices;
   Cy__ServerNotice **notices;
+  /*
+   * The receiver would place the requests next, or nobody does: it keeps the
+   * register of this entry VM up to date.
+   */
+  protobuf_c_boolean standby;
 };
 #define CY__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__entry_report__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0,NULL }
+    , NULL, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/src/core/cyc_register.c
+++ b/src/core/cyc_register.c
@@ -362,6 +362,17 @@
   return changed ? CYC_CHANGED : CYC_RENEWED;
 }
 
+void
+cyc_register_entry_renew (struct cyc_register *reg, const char *vm,
+                          cy_time_ns now)
+{
+  struct cyc_entry *held = g_hash_table_lookup (reg->entries_by_vm, vm);
+  if (held == NULL)
+    return;
+  held->last_received = now;
+  held->last_direct = now;
+}
+
 void
 cyc_register_entry_disconnected (struct cyc_register *reg, const char *vm,
                                  cy_time_ns now)
--- a/src/core/cyc_register.h
+++ b/src/core/cyc_register.h
@@ -91,6 +91,10 @@
                                              const Cy__EntryVm *info,
                                              bool direct, cy_time_ns now);
 
+/* Records at NOW that entry VM VM sent an unchanged report to this process. */
+void cyc_register_entry_renew (struct cyc_register *reg, const char *vm,
+                               cy_time_ns now);
+
 /* Records that the connection of entry VM VM to this process has ended.  */
 void cyc_register_entry_disconnected (struct cyc_register *reg, const char *vm,
                                       cy_time_ns now);
--- a/src/entry/cye_hub.c
+++ b/src/entry/cye_hub.c
@@ -40,18 +40,24 @@
   self.ready = cye_hub_is_ready (hub);
   self.incarnation = identity->incarnation;
   self.sequence = hub->change_number;
-  report.self = &self;
+  if (link->self_sent != hub->change_number)
+    report.self = &self;
   report.document_number = hub->document == NULL ? 0 : hub->document->number;
   report.epoch = link->epoch;
   report.sequence = link->sequence;
   report.attached = hub->placer == link;
+  /* Without a placer this VM needs the register itself.  */
+  report.standby = hub->standby == link || hub->placer == NULL;
   report.number = ++hub->report_number;
   if (report.attached && link->notices_due)
     cye_hub_place_fill_notices (hub, &report);
   envelope.body_case = CY__ENVELOPE__BODY_ENTRY_REPORT;
   envelope.entry_report = &report;
-  if (cyn_conn_send (link->conn, &envelope) == CY_OK && report.attached)
-    link->notices_due = false;
+  if (cyn_conn_send (link->conn, &envelope) == CY_OK)
+    {
+      link->self_sent = hub->change_number;
+      link->notices_due = link->notices_due && !report.attached;
+    }
   cye_hub_place_clear_notices (&report);
   link->last_reported = cye_hub_now (hub);
 }
@@ -80,6 +86,7 @@
   link->epoch = 0;
   link->sequence = 0;
   link->notices_due = true;
+  link->self_sent = 0;
   cye_hub_report (link->hub, link);
 }
 
@@ -194,6 +201,8 @@
 {
   cye_hub_close_link (link);
   CK_LIST_REMOVE (link, entry);
+  if (link->hub->standby == link)
+    link->hub->standby = NULL;
   cyn_timer_destroy (link->redial);
   g_free (link->host);
   g_free (link->vm);
@@ -302,15 +311,18 @@
          && (!new || steady || link->hub->placer == NULL);
 }
 
+/* Returns the control VM that places requests, of those that are isolated or
+   not.  SKIP, which may be NULL, is left out.  */
 static struct cye_link *
-best_link (struct cye_hub *hub, bool isolated, cy_time_ns now)
+best_link (struct cye_hub *hub, const struct cye_link *skip, bool isolated,
+           cy_time_ns now)
 {
   struct cye_link *link = NULL;
   struct cye_link *best = NULL;
   CK_LIST_FOREACH (link, &hub->links, entry)
   {
     if (!is_eligible_placer (link, link != hub->placer, now)
-        || link->isolated != isolated)
+        || link->isolated != isolated || link == skip)
       continue;
     if (best == NULL || strcmp (link->vm, best->vm) < 0)
       best = link;
@@ -330,16 +342,30 @@
   return false;
 }
 
+/* Chooses the control VM that places requests after PLACER.  */
+static void
+choose_standby (struct cye_hub *hub, const struct cye_link *placer,
+                cy_time_ns now)
+{
+  struct cye_link *standby = best_link (hub, placer, false, now);
+  if (standby == hub->standby)
+    return;
+  hub->standby = standby;
+  if (standby != NULL)
+    cye_hub_report (hub, standby);
+}
+
 void
 cye_hub_choose_placer (struct cye_hub *hub)
 {
   cy_time_ns now = cye_hub_now (hub);
   struct cye_link *before = hub->placer;
-  struct cye_link *best = best_link (hub, false, now);
+  struct cye_link *best = best_link (hub, NULL, false, now);
   /* An isolated control VM does not receive drains.  It is chosen only while
      no control VM with a majority is connected.  */
   if (best == NULL && !has_majority_link (hub, now))
-    best = best_link (hub, true, now);
+    best = best_link (hub, NULL, true, now);
+  choose_standby (hub, best, now);
   if (best == before)
     return;
   hub->placer = best;
@@ -354,6 +380,8 @@
       best->notices_due = true;
       cye_hub_report (hub, best);
     }
+  else
+    cye_hub_report_all (hub);
   cye_hub_place_reassign (hub, before);
 }
 
@@ -465,6 +493,7 @@
   struct cye_hub *hub = g_new0 (struct cye_hub, 1);
   hub->options = *options;
   hub->clock = cyn_loop_clock (options->loop);
+  hub->change_number = 1;
   hub->server_register = cyc_register_create ();
   hub->drained_zones = g_ptr_array_new_with_free_func (g_free);
   CK_LIST_INIT (&hub->links);
--- a/src/entry/cye_hub_internal.h
+++ b/src/entry/cye_hub_internal.h
@@ -43,6 +43,8 @@
   uint64_t epoch;           /* of the control VM's register, as held here */
   uint64_t sequence;        /* newest change of that register held here */
   bool notices_due;         /* the next report lists all notices */
+  uint64_t self_sent; /* number of the newest change of this VM's own entry
+                         that was sent on the connection, 0: none */
 };
 
 CK_LIST_HEAD (cye_links, cye_link);
@@ -54,6 +56,7 @@
   const struct cy_clock *clock;
   struct cye_links links;
   struct cye_link *placer; /* control VM that places requests, NULL: this VM */
+  struct cye_link *standby;             /* the next placer, NULL: none */
   struct cyn_timer *heartbeat_timer;    /* sends reports, checks links */
   struct cyn_timer *placer_check_timer; /* runs while requests wait */
   uint64_t report_number;               /* number of the newest report */
--- a/src/entry/cye_hub_view.c
+++ b/src/entry/cye_hub_view.c
@@ -70,8 +70,8 @@
   if (link->view_received && link->isolated == view->isolated
       && link->leaving == view->leaving)
     return;
-  cyu_log (G_LOG_LEVEL_INFO, "control VM %s at %s %s", view->controls[0]->vm,
-           link->host,
+  cyu_log (G_LOG_LEVEL_INFO, "control VM %s at %s %s",
+           link->vm == NULL ? "" : link->vm, link->host,
            view->leaving    ? "leaves"
            : view->isolated ? "is partitioned or not up to date"
                             : "reaches a majority of its peers");
@@ -83,13 +83,13 @@
 {
   cy_time_ns now = cye_hub_now (hub);
   uint64_t before = cyc_register_sequence (hub->server_register);
-  if (view->n_controls == 0)
+  if (view->n_controls == 0 && !link->view_received)
     return;
-  log_link_state (link, view);
   for (size_t i = 0; i < view->n_controls; i++)
     cye_hub_add_control_vm (hub, view->controls[i]->vm,
                             view->controls[i]->region,
                             view->controls[i]->host);
+  log_link_state (link, view);
   link->view_received = true;
   link->isolated = view->isolated;
   link->reaches_majority = view->majority;
--- a/src/hub/cyc_children.c
+++ b/src/hub/cyc_children.c
@@ -68,7 +68,7 @@
 {
   cy_time_ns now = cyc_now (hub);
   struct cyc_child *child = cyc_children_find (hub, conn);
-  if (child == NULL || report->self == NULL)
+  if (child == NULL || (report->self == NULL && child->vm == NULL))
     return;
   if (child->vm == NULL)
     {
@@ -89,8 +89,12 @@
   bool attachment_changed
       = child->document_schedule.attached != report->attached;
   child->document_schedule.attached = report->attached;
-  enum cyc_register_effect effect
-      = cyc_register_entry (hub->reg, report->self, true, now);
+  child->view_schedule.wants_servers = report->attached || report->standby;
+  enum cyc_register_effect effect = CYC_RENEWED;
+  if (report->self != NULL)
+    effect = cyc_register_entry (hub->reg, report->self, true, now);
+  else
+    cyc_register_entry_renew (hub->reg, child->vm, now);
   if (effect == CYC_CHANGED || attachment_changed)
     cyc_dispatch_update_share (hub);
   if (effect == CYC_CHANGED)
@@ -141,6 +145,29 @@
   view->controls = (Cy__ControlVm **)(void *)g_ptr_array_free (list, FALSE);
 }
 
+static uint64_t
+hash_controls (const Cy__HubView *view)
+{
+  uint64_t hash = 1;
+  for (size_t i = 0; i < view->n_controls; i++)
+    {
+      const Cy__ControlVm *control = view->controls[i];
+      hash = XXH64 (control->vm, strlen (control->vm), hash);
+      hash = XXH64 (control->host, strlen (control->host), hash);
+    }
+  return hash;
+}
+
+static void
+clear_controls (Cy__HubView *view)
+{
+  for (size_t i = 0; i < view->n_controls; i++)
+    g_free (view->controls[i]);
+  g_free (view->controls);
+  view->controls = NULL;
+  view->n_controls = 0;
+}
+
 /* Adds the backend servers of CHILD's region that have changed since the last
    view.  */
 static void
@@ -148,15 +175,19 @@
                 Cy__HubView *view, cy_time_ns now)
 {
   struct cyc_instance *instance = NULL;
-  GPtrArray *list = g_ptr_array_new ();
   view->epoch = hub->epoch;
-  view->sequence = cyc_register_sequence (hub->reg);
+  const struct cyc_view_schedule *schedule = &child->view_schedule;
+  view->sequence = cyc_view_schedule_sequence (
+      schedule, cyc_register_sequence (hub->reg));
+  if (!schedule->wants_servers)
+    return;
+  GPtrArray *list = g_ptr_array_new ();
   CK_LIST_FOREACH (instance, cyc_register_instances (hub->reg), entry)
   {
     const char *region
         = cyc_topology_region (hub->options.topology, instance->info->zone);
-    if (instance->sequence <= child->sent_sequence || region == NULL
-        || strcmp (region, child->region) != 0)
+    if (!cyc_view_schedule_has_server (schedule, instance->sequence)
+        || region == NULL || strcmp (region, child->region) != 0)
       continue;
     instance->info->cold_ms = cyc_instance_cold_ms (instance, now);
     g_ptr_array_add (list, instance->info);
@@ -284,6 +315,9 @@
   const Cy__Document *newest
       = cyc_hub_serves (hub) ? cyc_hub_document (hub) : NULL;
   fill_controls (hub, &view, now);
+  uint64_t controls = hash_controls (&view);
+  if (!cyc_view_schedule_has_controls (&child->view_schedule, controls))
+    clear_controls (&view);
   fill_instances (hub, child, &view, now);
   count_entries (hub, child, &view);
   view.n_drained_zones = hub->drained->len;
@@ -302,11 +336,10 @@
   envelope.body_case = CY__ENVELOPE__BODY_HUB_VIEW;
   envelope.hub_view = &view;
   if (cyn_conn_send (child->conn, &envelope) == CY_OK)
-    child->sent_sequence = view.sequence;
+    cyc_view_schedule_record_sent (&child->view_schedule, view.sequence,
+                                   controls);
   child->view_due = false;
-  for (size_t i = 0; i < view.n_controls; i++)
-    g_free (view.controls[i]);
-  g_free (view.controls);
+  clear_controls (&view);
   g_free (view.instances);
 }
 
@@ -323,8 +356,9 @@
     if (child->vm == NULL)
       continue;
     bool document_due = is_document_due (hub, child, newest, now);
-    if (child->view_due || document_due || child->sent_sequence < sequence
-        || hub->all_views_due)
+    bool servers_due
+        = cyc_view_schedule_is_due (&child->view_schedule, sequence);
+    if (child->view_due || document_due || servers_due || hub->all_views_due)
       send_view (hub, child, now);
   }
   hub->all_views_due = false;
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -20,6 +20,7 @@
 #include "control/cyx_replica.h"
 #include "core/cyc_register.h"
 #include "core/cyc_serving.h"
+#include "core/cyc_view_schedule.h"
 #include "core/cyi_send_schedule.h"
 #include "core/cym_loans.h"
 #include "core/cym_quota.h"
@@ -60,6 +61,10 @@
    is removed, ms.  */
 #define CYC_PEER_EXPIRY_MS 60000
 
+/* Interval between two messages to a control VM with the names of this one and
+   the addresses of the others, ms.  */
+#define CYC_NAMES_INTERVAL_MS 4000
+
 /* Another control VM.  */
 struct cyc_peer
 {
@@ -77,6 +82,8 @@
   int64_t backoff_ms;         /* delay of the next dial */
   uint64_t sent_sequence;     /* of this register, sent on CONN */
   cy_time_ns last_sent;       /* time of the last message on CONN, 0: none */
+  cy_time_ns names_sent_at;   /* time of the last message on CONN with names
+                                 of control VMs, 0: none */
   cy_time_ns last_received;   /* time of the last message, 0: none */
   cy_time_ns added_at;        /* time at which the address became known */
   uint64_t epoch;             /* of the peer's register */
@@ -118,7 +125,7 @@
   cy_time_ns last_received;
   uint64_t epoch;         /* of the register that the entry VM holds */
   uint64_t held_sequence; /* newest change of that register it holds */
-  uint64_t sent_sequence; /* of this register, sent on CONN */
+  struct cyc_view_schedule view_schedule; /* what was sent on CONN */
   uint64_t report_number; /* of the last report, echoed in views */
   bool view_due;          /* the next flush sends a view */
   GHashTable *jobs;       /* &number to struct cyc_job */
--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -23,6 +23,7 @@
   peer->backoff_ms = BACKOFF_FIRST_MS;
   peer->sent_sequence = 0;
   peer->last_sent = 0;
+  peer->names_sent_at = 0;
   cyc_hub_schedule_flush (peer->hub);
 }
 
@@ -295,6 +296,30 @@
   g_free (sync->known);
   g_free (sync->instances);
   g_free (sync->entries);
+  g_free (sync->loans);
+}
+
+/* Keeps the loans to the region of PEER only.  The array is copied, the loans
+   stay with the caller.  */
+static void
+select_loans (const struct cyc_peer *peer, Cy__HubSync *sync)
+{
+  Cy__Loan **all = sync->loans;
+  size_t count = sync->n_loans;
+  sync->loans = g_new (Cy__Loan *, count);
+  sync->n_loans = 0;
+  for (size_t i = 0; i < count; i++)
+    if (peer->region == NULL || strcmp (all[i]->region, peer->region) == 0)
+      sync->loans[sync->n_loans++] = all[i];
+}
+
+/* True when PEER may lend slots to this VM's region.  */
+static bool
+is_lender (const struct cyc_peer *peer)
+{
+  return peer->region == NULL
+         || (peer->attached_entries > 0
+             && strcmp (peer->region, peer->hub->options.region) != 0);
 }
 
 static void
@@ -302,9 +327,22 @@
 {
   struct cyc_hub *hub = peer->hub;
   Cy__Envelope envelope = CY__ENVELOPE__INIT;
+  Cy__ControlVm unnamed = *sync->self;
+  bool names_due
+      = peer->names_sent_at == 0
+        || now - peer->names_sent_at >= CYC_NAMES_INTERVAL_MS * CY_NS_PER_MS;
   fill_instances (hub, peer, sync, now);
   fill_entries (hub, peer, sync, now);
-  fill_known (hub, sync);
+  select_loans (peer, sync);
+  if (!is_lender (peer))
+    sync->n_slot_needs = 0;
+  if (names_due)
+    fill_known (hub, sync);
+  else
+    {
+      unnamed.vm = unnamed.zone = unnamed.region = (char *)"";
+      sync->self = &unnamed;
+    }
   sync->heard_epoch = peer->epoch;
   sync->heard_sequence = peer->received_sequence;
   envelope.body_case = CY__ENVELOPE__BODY_HUB_SYNC;
@@ -313,6 +351,8 @@
     {
       peer->sent_sequence = sync->sequence;
       peer->last_sent = now;
+      if (names_due)
+        peer->names_sent_at = now;
     }
   sync_clear (sync);
 }
@@ -384,8 +424,9 @@
 {
   const Cy__ControlVm *self = sync->self;
   bool was_live = cyc_peer_is_live (peer, now);
-  if (peer->vm == NULL || strcmp (peer->vm, self->vm) != 0
-      || peer->zone == NULL)
+  if (self->vm[0] != '\0'
+      && (peer->vm == NULL || strcmp (peer->vm, self->vm) != 0
+          || peer->zone == NULL))
     {
       g_free (peer->vm);
       g_free (peer->zone);
@@ -408,8 +449,8 @@
     peer->acked_sequence = MAX (peer->acked_sequence, sync->heard_sequence);
   if (!was_live)
     {
-      cyu_log (G_LOG_LEVEL_INFO, "control VM %s at %s is reachable", peer->vm,
-               peer->host);
+      cyu_log (G_LOG_LEVEL_INFO, "control VM %s at %s is reachable",
+               peer->vm == NULL ? "" : peer->vm, peer->host);
       /* Dial at once: the timer may wait for the largest backoff.  */
       if (peer->conn == NULL)
         cyn_timer_start (peer->redial_timer, 0);
@@ -458,7 +499,7 @@
     {
       hub->serving.caught_up = true;
       cyu_log (G_LOG_LEVEL_INFO, "holds all that leader %s had committed",
-               sync->self->vm);
+               peer->vm == NULL ? sync->self->host : peer->vm);
       cyc_hub_schedule_flush (hub);
     }
   cyc_hub_update_serving (hub);
--- a/src/net/cyn_conn.c
+++ b/src/net/cyn_conn.c
@@ -138,11 +138,15 @@
       conn_start_close (conn, CY_E_FULL);
       return CY_E_FULL;
     }
+  const Cy__Hello *peer = conn->peer_hello;
+  bool other_zone
+      = peer != NULL && strcmp (peer->zone, conn->identity->zone) != 0;
+  guint before = conn->write_buffer->len;
   cy_result result
       = cyn_frame_write (conn->identity->cluster, message, conn->write_buffer);
   if (result != CY_OK)
     return result;
-  cyn_count_frame_out ();
+  cyn_count_frame_out (message, conn->write_buffer->len - before, other_zone);
   if (conn->state != CONN_CONNECTING)
     conn_flush (conn);
   return CY_OK;
--- a/src/net/cyn_counters.c
+++ b/src/net/cyn_counters.c
@@ -4,6 +4,8 @@
 
 #include "base/cyu_metrics.h"
 
+#define MESSAGE_NUMBER_MAX 63 /* largest field number of an envelope */
+
 /* Metrics summed over all connections of the process.  */
 struct totals
 {
@@ -12,6 +14,9 @@
   struct cyu_metric *bytes_in;
   struct cyu_metric *bytes_out;
   struct cyu_metric *refused[10]; /* index: result - CY_E_FRAME_MAGIC */
+  /* Bytes by the number of the message in the envelope, and whether the
+     receiver is in another zone.  */
+  struct cyu_metric *sent[MESSAGE_NUMBER_MAX + 1][2];
 };
 
 static gpointer
@@ -39,6 +44,21 @@
   return totals;
 }
 
+static struct cyu_metric *
+create_sent (unsigned number, bool other_zone)
+{
+  const ProtobufCFieldDescriptor *field
+      = protobuf_c_message_descriptor_get_field (&cy__envelope__descriptor,
+                                                 number);
+  char *labels = g_strdup_printf ("message=\"%s\",to=\"%s\"",
+                                  field == NULL ? "" : field->name,
+                                  other_zone ? "other_zone" : "zone");
+  struct cyu_metric *metric = cyu_counter (
+      "cy_net_sent_bytes_total", labels, "Bytes of messages by their kind.");
+  g_free (labels);
+  return metric;
+}
+
 static struct totals *
 get_totals (void)
 {
@@ -86,7 +106,14 @@
 }
 
 void
-cyn_count_frame_out (void)
+cyn_count_frame_out (const Cy__Envelope *message, size_t bytes,
+                     bool other_zone)
 {
-  cyu_metric_add (get_totals ()->frames_out, 1);
+  struct totals *totals = get_totals ();
+  unsigned number = MIN ((unsigned)message->body_case, MESSAGE_NUMBER_MAX);
+  struct cyu_metric **sent = &totals->sent[number][other_zone];
+  if (*sent == NULL)
+    *sent = create_sent (number, other_zone);
+  cyu_metric_add (*sent, (int64_t)bytes);
+  cyu_metric_add (totals->frames_out, 1);
 }
--- a/src/net/cyn_counters.h
+++ b/src/net/cyn_counters.h
@@ -4,9 +4,11 @@
 #ifndef CYN_COUNTERS_H
 #define CYN_COUNTERS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
+#include "cy.pb-c.h"
 #include "cy_result.h"
 
 struct cyn_counters
@@ -22,7 +24,11 @@
 void cyn_count_read (size_t bytes);
 void cyn_count_written (size_t bytes);
 void cyn_count_frame_in (void);
-void cyn_count_frame_out (void);
+
+/* Counts MESSAGE, a frame of BYTES, by its kind.  OTHER_ZONE: the receiver is
+   in another availability zone.  */
+void cyn_count_frame_out (const Cy__Envelope *message, size_t bytes,
+                          bool other_zone);
 
 /* Counts a closed connection if REASON is an invalid frame, and does nothing
    for other reasons.  */
