--- a/src/control/cyx_fanout.c
+++ b/src/control/cyx_fanout.c
@@ -27,7 +27,6 @@
   uint64_t mirrored_sequence; /* sequence number of options.soft in STRIPPED */
   struct cyx_quota *quota;
   struct cyn_timer *timer;
-  bool push_due;
 };
 
 static cy_time_ns
--- a/src/core/cyb_pool.c
+++ b/src/core/cyb_pool.c
@@ -383,10 +383,9 @@
   *slots = 0;
   CK_LIST_FOREACH (server, &pool->servers, entry)
   {
-    if (is_healthy (server, now))
-      {
-        count++;
-      }
+    if (!is_healthy (server, now))
+      continue;
+    count++;
     *slots += server->slots;
   }
   return count;
--- a/src/core/cyb_pool.h
+++ b/src/core/cyb_pool.h
@@ -136,8 +136,7 @@
                                          uint64_t incarnation);
 struct cyb_servers *cyb_pool_servers (struct cyb_pool *pool);
 
-/* Returns the number of healthy servers and stores the slots of all servers of
-   the pool in SLOTS.  */
+/* Returns the number of healthy servers and stores their slots in SLOTS.  */
 size_t cyb_pool_count_healthy (struct cyb_pool *pool, uint32_t *slots);
 
 /* Median over the servers of the mean time to first byte, in nanoseconds; 0
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -235,7 +235,6 @@
 struct cym_options
 {
   const char *region; /* region whose servers are local */
-  const char *zone;   /* zone of the entry VM, "" for a region's matcher */
   const struct cy_random *random;
   struct cym_limits limits;
   /* Takes a token of WORKSPACE for a request that is being placed.  False:
--- a/src/core/cyv_series.h
+++ b/src/core/cyv_series.h
@@ -11,10 +11,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define CYV_SPAN_MS      5000 /* ms; length of one span */
-#define CYV_SPAN_COUNT   240  /* number of spans kept: 20 minutes */
-#define CYV_ZONES_MAX    64   /* maximum number of zones */
-#define CYV_SERVICES_MAX 64   /* maximum number of services */
+#include "core/cyp_shift.h"
+
+#define CYV_SPAN_MS      5000          /* ms; length of one span */
+#define CYV_SPAN_COUNT   240           /* number of spans kept: 20 minutes */
+#define CYV_ZONES_MAX    CYP_ZONES_MAX /* maximum number of zones */
+#define CYV_SERVICES_MAX 64            /* maximum number of services */
 
 /* Parts of the time that a request takes.  */
 enum cyv_part
--- a/src/entry/cye_slots.h
+++ b/src/entry/cye_slots.h
@@ -144,7 +144,7 @@
 struct cye_service_load
 {
   uint32_t backends;  /* healthy backend servers */
-  uint32_t slots;     /* slots of the service's backend servers */
+  uint32_t slots;     /* slots of the healthy backend servers */
   uint32_t in_flight; /* requests of this VM at backend servers */
   uint32_t waiting;   /* requests that wait for a slot */
   double answer_ms;   /* expected time to answer, 0: unknown */
--- a/src/entry/cye_view.h
+++ b/src/entry/cye_view.h
@@ -27,7 +27,6 @@
   uint32_t first_vm; /* index in cye_view.vms */
   uint32_t count;    /* VMs of the zone that serve */
   uint16_t region;
-  bool declared;
   bool drained;
   bool unreachable;      /* most probes from the local zone are lost */
   bool has_planned_work; /* a VM leaves or the zone drains: answers live
--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -473,7 +473,6 @@
 {
   struct cym_options options = {
     .region = hub->options.region,
-    .zone = "",
     .random = hub->options.random,
     .limits = hub->options.limits,
   };
--- a/tests/entry/test_pool.c
+++ b/tests/entry/test_pool.c
@@ -178,6 +178,21 @@
 }
 END_TEST
 
+/* Slots of servers that take no requests are no room.  */
+START_TEST (test_room_of_healthy_servers)
+{
+  struct fixture fixture;
+  uint32_t slots = 0;
+  fixture_start (&fixture, false);
+  ck_assert_uint_eq (cyb_pool_count_healthy (fixture.pool, &slots), 2);
+  ck_assert_uint_eq (slots, 8);
+  cyb_pool_find_server (fixture.pool, "a", 1)->unhealthy = true;
+  ck_assert_uint_eq (cyb_pool_count_healthy (fixture.pool, &slots), 1);
+  ck_assert_uint_eq (slots, 4);
+  cyb_pool_destroy (fixture.pool);
+}
+END_TEST
+
 /* A full server that refuses requests at once must not be rated the fastest:
    it gets no requests for a pause and then one at a time.  */
 START_TEST (test_shedding)
@@ -376,6 +391,7 @@
   tcase_add_test (tcase, test_ejection_and_return);
   tcase_add_test (tcase, test_cancelled_is_no_evidence);
   tcase_add_test (tcase, test_shedding);
+  tcase_add_test (tcase, test_room_of_healthy_servers);
   tcase_add_loop_test (tcase, test_notices, 0, G_N_ELEMENTS (notice_rows));
   tcase_add_test (tcase, test_slow_server);
   tcase_add_test (tcase, test_register);
--- a/tests/match/match_world.h
+++ b/tests/match/match_world.h
@@ -121,7 +121,6 @@
   g_queue_init (&sim.running);
   struct cym_options options = {
     .region = "r1",
-    .zone = "",
     .random = &sim.random,
     .limits
     = { .retries = { .window = 10 * CY_NS_PER_S, .ratio = 0.2, .fixed = 5 } },
--- a/tests/steer/test_verdict.c
+++ b/tests/steer/test_verdict.c
@@ -5,6 +5,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "core/cyp_shift.h"
 #include "core/cyv_verdict.h"
 #include "cy_test.h"
 
@@ -315,6 +316,19 @@
   cyv_series_destroy (fixture->series);
 }
 
+/* Every zone that the steering plan knows has a place in the series.  */
+START_TEST (test_last_zone_counts)
+{
+  struct cyv_series *series = cyv_series_create ();
+  struct cyv_time_split split = { .requests = 1 };
+  int64_t span = cyv_span_of (START_MS);
+  cyv_series_add_split (series, 0, CYP_ZONES_MAX - 1, &split, START_MS,
+                        START_MS);
+  ck_assert_ptr_nonnull (cyv_split_at (series, 0, CYP_ZONES_MAX - 1, span));
+  cyv_series_destroy (series);
+}
+END_TEST
+
 START_TEST (test_known_cause)
 {
   const struct row *row = &rows[_i / 2];
@@ -395,6 +409,7 @@
   tcase_set_timeout (tcase, 120);
   tcase_add_loop_test (tcase, test_known_cause, 0,
                        2 * (int)G_N_ELEMENTS (rows));
+  tcase_add_test (tcase, test_last_zone_counts);
   tcase_add_test (tcase, test_reports_pair_of_zones);
   tcase_add_test (tcase, test_noise);
   suite_add_tcase (suite, tcase);
