--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -75,7 +75,7 @@
   char *zone;
   char *region;
   uint16_t http_port;
-  uint64_t member; /* id in the log */
+  uint64_t member;       /* id in the log */
   struct cyn_conn *conn; /* opened here, used for sending only; or NULL */
   struct cyn_timer *redial_timer;
   int64_t backoff_ms;         /* delay of the next dial */
@@ -142,7 +142,7 @@
   /* cyc_log.c */
   struct cyx_replica *replica;
   struct cys_state *state;
-  uint64_t member; /* id of this VM in the log */
+  uint64_t member;          /* id of this VM in the log */
   uint64_t change_count;    /* proposed changes, numbers the request ids */
   GPtrArray *drained;       /* names of the drained zones, char * */
   GHashTable *undrained_at; /* zone to cy_time_ns of the end of its drain */
