Planned stop of a hub's entry VM: late requests are refused, long ones end

What callers saw: a request that came late in the grace time on an open connection was passed on and cut at its end, though it may not be repeated; one that came in the first second and ran for 7 s was cut after 5.6 s though the grace time was 10 s (operators' report; the large site has 10 s).

Cause: the end of a planned stop was a constant below the smallest grace time, and requests were taken until then.

Requests are taken for 2.9 s, at most half of the grace time; later ones get 503, not run, on a connection that closes. The stop ends 0.4 s before the kill. Durations among the settings may have bounds.

Processes of the tree layout finish what is open without such a bound.

--- a/scripts/lib/hubs.sh
+++ b/scripts/lib/hubs.sh
@@ -12,6 +12,7 @@
 hubs_gate=$net.11:$listen       # IP:PORT of the entry VM for callers
 hubs_server=$net.30             # host of the backend server
 hubs_args=()                    # additional flags of the control VMs
+hubs_gate_args=()               # additional flags of the entry VM
 
 fail () { echo "FAILED: $*"; failures=$((failures + 1)); }
 
@@ -30,7 +31,7 @@
   done
   cluster_run gate "$cluster_bin/cy-gate" --vm gate --zone a --region r1 \
     --regions $map --listen "$hubs_gate" --peer-port "$peer" \
-    --seeds "$seeds" --secret-file "$cluster_dir/secret"
+    --seeds "$seeds" --secret-file "$cluster_dir/secret" "${hubs_gate_args[@]}"
   cluster_run backend "$cluster_bin/cy-backend" --service s --zone a \
     --host "$hubs_server" --port "$served" "$@"
   cluster_wait_ready hub1 hub2 hub3 gate backend || exit 1
--- a/src/base/cyu_settings.c
+++ b/src/base/cyu_settings.c
@@ -73,7 +73,12 @@
           "a number from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
           (gint64)setting->minimum, (gint64)setting->maximum);
     case CYU_DURATION:
-      return g_strdup ("a time such as 1500ms or 2.5s");
+      return setting->maximum == 0
+                 ? g_strdup ("a time such as 1500ms or 2.5s")
+                 : g_strdup_printf (
+                     "a time such as 1500ms or 2.5s, %" G_GINT64_FORMAT
+                     "ms to %" G_GINT64_FORMAT "ms",
+                     (gint64)setting->minimum, (gint64)setting->maximum);
     case CYU_ADDRESSES:
       return g_strdup ("IP:PORT, several with commas between them");
     }
@@ -132,7 +137,10 @@
   if (end == text || !(number >= 0) || number > 1e9
       || (!seconds && strcmp (end, "ms") != 0))
     return false;
-  *(int64_t *)setting->value = (int64_t)(seconds ? number * 1000 : number);
+  int64_t ms = (int64_t)(seconds ? number * 1000 : number);
+  if (ms < setting->minimum || (setting->maximum > 0 && ms > setting->maximum))
+    return false;
+  *(int64_t *)setting->value = ms;
   return true;
 }
 
--- a/src/base/cyu_settings.h
+++ b/src/base/cyu_settings.h
@@ -20,7 +20,8 @@
   CYU_INTEGER,  /* value is int64_t *, MINIMUM to MAXIMUM */
   CYU_BOOLEAN,  /* value is bool * */
   CYU_NUMBER,   /* value is double *, MINIMUM to MAXIMUM */
-  CYU_DURATION, /* value is int64_t * in ms; text is "1500ms" or "2.5s" */
+  CYU_DURATION, /* value is int64_t * in ms, MINIMUM to MAXIMUM (0: no
+                   limit); text is "1500ms" or "2.5s" */
   CYU_ADDRESSES /* like CYU_STRING, a list "IP:PORT,IP:PORT" */
 };
 
--- a/src/entry/cye_route.c
+++ b/src/entry/cye_route.c
@@ -1,6 +1,7 @@
 /* Hub layout: checks the head of a request against the numbered declaration.
    Finds its route and workspace and fills the slot request for the placer.  */
 
+#include <ck_pr.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -176,6 +177,8 @@
   request->request_id = g_strdup (head.request_id);
   request->host = g_strdup (head.host);
   request->target.raw = request->uri;
+  if (ck_pr_load_int (&request->shared->refuses_requests))
+    return CY_E_STOPPING;
   if (document == NULL)
     {
       request->place.retry_after_ms = NO_DECLARATION_RETRY_MS;
--- a/src/gate/cyg_gate.c
+++ b/src/gate/cyg_gate.c
@@ -7,25 +7,12 @@
 #include "base/cy_system.h"
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
+#include "entry/cye_leave.h"
 #include "entry/cye_shared.h"
 #include "entry/cye_worker.h"
 #include "http/cyh_server.h"
 #include "platform/cyplat_names.h"
 
-/* Shortest planned stop, ms.  Callers may use a cached lookup that names this
-   VM until then.  */
-#define LEAVE_MIN_MS 2600
-
-/* Time after the start of a planned stop at which new connections are refused,
-   ms.  */
-#define REFUSE_AFTER_MS 2300
-
-/* Time without an open request after which a planned stop may end, ms.  */
-#define IDLE_MIN_MS 150
-
-/* Longest planned stop, ms.  */
-#define LEAVE_MAX_MS 5600
-
 /* Interval between two checks whether a planned stop may end, ms.  */
 #define LEAVE_CHECK_MS 50
 
@@ -50,9 +37,7 @@
   struct probe_server ready;
   struct probe_server metrics;
   struct cyn_timer *leave_timer;
-  cy_time_ns leave_began_at; /* time at which the planned stop began, 0: it has
-                                not */
-  cy_time_ns last_busy;      /* time of the last check with an open request */
+  struct cye_leave leave; /* planned stop */
   bool refuses_connections;
   cyn_callback stopped;
   void *stopped_context;
@@ -131,19 +116,17 @@
 {
   struct cyg_gate *gate = context;
   cy_time_ns now = cy_clock_now (gate->shared.clock);
-  cy_time_ns elapsed = now - gate->leave_began_at;
-  if (!gate->refuses_connections && elapsed >= REFUSE_AFTER_MS * CY_NS_PER_MS)
+  if (!gate->refuses_connections
+      && !cye_leave_takes_connections (&gate->leave, now))
     {
       gate->refuses_connections = true;
       cye_worker_quiesce (gate->worker);
       close (gate->fd);
       gate->fd = -1;
     }
-  if (gate->shared.open_requests != 0)
-    gate->last_busy = now;
-  bool is_idle = now - gate->last_busy >= IDLE_MIN_MS * CY_NS_PER_MS;
-  if ((is_idle && elapsed >= LEAVE_MIN_MS * CY_NS_PER_MS)
-      || elapsed >= LEAVE_MAX_MS * CY_NS_PER_MS)
+  if (!cye_leave_takes_requests (&gate->leave, now))
+    gate->shared.refuses_requests = 1;
+  if (cye_leave_is_over (&gate->leave, gate->shared.open_requests, now))
     {
       cyu_log (G_LOG_LEVEL_INFO,
                "planned stop ends with %" G_GINT64_FORMAT " open requests",
@@ -157,11 +140,11 @@
 void
 cyg_gate_leave (struct cyg_gate *gate, cyn_callback stopped, void *context)
 {
-  if (gate->leave_began_at != 0)
+  if (gate->leave.began_at != 0)
     return;
   cyu_log (G_LOG_LEVEL_INFO, "planned stop: no new callers");
-  gate->leave_began_at = cy_clock_now (gate->shared.clock);
-  gate->last_busy = gate->leave_began_at;
+  cye_leave_begin (&gate->leave, gate->options.grace,
+                   cy_clock_now (gate->shared.clock));
   gate->stopped = stopped;
   gate->stopped_context = context;
   gate->shared.leaving = 1;
--- a/src/gate/cyg_gate.h
+++ b/src/gate/cyg_gate.h
@@ -28,6 +28,8 @@
   uint16_t peer_port;    /* of control VMs, for other processes */
   const char *seeds;     /* "IP:PORT,..." with HTTP ports of control VMs */
   enum cyc_dialect dialect;
+  cy_time_ns grace; /* ns from the start of a planned stop until the process is
+                       killed */
 };
 
 cy_result cyg_gate_create (const struct cyg_gate_options *options,
--- a/src/gate/main.c
+++ b/src/gate/main.c
@@ -28,6 +28,7 @@
   char *dialect;
   char *cluster;
   char *secret_file;
+  int64_t grace_ms;
   bool log_json;
   int64_t log_details;
   int64_t log_faults;
@@ -68,7 +69,8 @@
           .peer_port = (uint16_t)settings->peer_port,
           .metrics_port = (uint16_t)settings->metrics_port,
           .seeds = settings->seeds,
-          .dialect = dialect };
+          .dialect = dialect,
+          .grace = settings->grace_ms * CY_NS_PER_MS };
   cyu_address_split (settings->listen, &host, &options.port);
   if (settings->ready[0] != '\0')
     cyu_address_split (settings->ready, &ready_host, &options.ready_port);
@@ -118,6 +120,8 @@
       "Name of the cluster" },
     { "secret-file", CYU_STRING, &settings.secret_file, NULL, 0, 0,
       "File with the secret shared by all processes" },
+    { "grace", CYU_DURATION, &settings.grace_ms, "6s", 1000, 3600000,
+      "Time from SIGTERM until the process is killed" },
     { "log-json", CYU_BOOLEAN, &settings.log_json, "true", 0, 0,
       "Log as JSON lines" },
     { "log-details", CYU_INTEGER, &settings.log_details, "10", 0, 100000,
