--- a/tests/scripts/settings_page.sh
+++ b/tests/scripts/settings_page.sh
@@ -29,4 +29,4 @@
   --secret-file <(echo 0123456789abcdef) --members 1=127.0.0.1
 refuses '--grace (CY_GRACE) is "200ms"; allowed is a time such as 1500ms or 2.5s, 1000ms to 3600000ms' \
   build/bin/cy-gate --vm a --zone a --region r --regions a=r \
-  --listen 127.0.0.1:0 --seeds 127.0.0.1:1 --secret-file x --grace 200ms
+  --listen 127.0.0.1:1 --seeds 127.0.0.1:1 --secret-file x --grace 200ms
