--- a/scripts/lib/hubs.sh
+++ b/scripts/lib/hubs.sh
@@ -13,6 +13,8 @@
 hubs_server=$net.30             # host of the backend server
 hubs_args=()                    # additional flags of the control VMs
 hubs_gate_args=()               # additional flags of the entry VM
+hubs_request_id=Cy-Request-Id   # headers of requests
+hubs_timeout=Cy-Timeout-Ms
 
 fail () { echo "FAILED: $*"; failures=$((failures + 1)); }
 
@@ -82,5 +84,5 @@
   local method=$1 number=$2 timeout=$3
   shift 3
   call "$method" "http://$hubs_gate/x/$number" -H 'Host: a.example' \
-    -H "Cy-Request-Id: request-$number" -H "Cy-Timeout-Ms: $timeout" "$@"
+    -H "$hubs_request_id: request-$number" -H "$hubs_timeout: $timeout" "$@"
 }
--- a/src/backend/cyk_serve.c
+++ b/src/backend/cyk_serve.c
@@ -110,6 +110,7 @@
 write_record (struct run *run, const char *method)
 {
   struct cyk_serve *serve = run->serve;
+  const struct cye_names *names = serve->options.names;
   if (serve->options.record_fd < 0)
     return;
   MHD_get_connection_values (run->connection, MHD_HEADER_KIND, detect_key,
@@ -122,11 +123,11 @@
   json_t *line = json_pack (
       "{ss ss ss ss ss ss sI sI sb sI}", "id",
       get_header (run, "X-Request-Id"), "workspace",
-      get_header (run, "Cy-Workspace"), "instance", serve->options.instance,
+      get_header (run, names->workspace), "instance", serve->options.instance,
       "method", method, "path", run->uri, "digest", digest, "unix_ms",
       (json_int_t)cy_clock_unix_ms (cy_system_clock ()), "in_flight",
       (json_int_t)serve->in_flight, "key_seen", run->key_seen, "timeout_ms",
-      (json_int_t)g_ascii_strtoll (get_header (run, "Cy-Timeout-Ms"), NULL,
+      (json_int_t)g_ascii_strtoll (get_header (run, names->timeout), NULL,
                                    10));
   char *text = json_dumps (line, JSON_COMPACT);
   char *line_text = g_strconcat (text, "\n", NULL);
@@ -203,11 +204,12 @@
 format_answer_body (struct run *run, const char *method, size_t *length)
 {
   GString *body = g_string_new (NULL);
+  const struct cye_names *names = run->serve->options.names;
   g_string_printf (body,
                    "id=%s workspace=%s instance=%s method=%s path=%s "
                    "digest=%016" PRIx64 " bytes=%" PRIu64 "\n",
                    get_header (run, "X-Request-Id"),
-                   get_header (run, "Cy-Workspace"),
+                   get_header (run, names->workspace),
                    run->serve->options.instance, method, run->uri,
                    (uint64_t)XXH64_digest (run->digest), run->body_bytes);
   int64_t size = MIN (get_query_number (run, "size", 0), CYK_BODY_MAX_BYTES);
@@ -217,13 +219,18 @@
   return g_string_free (body, FALSE);
 }
 
-/* Copies the Cy-Request-Id of the request to its answer.  */
+/* Copies the request ID to the answer, and stamps it where the dialect wants
+   that.  */
 static void
 add_request_id (struct run *run, struct MHD_Response *response)
 {
-  const char *id = get_header (run, "Cy-Request-Id");
+  const struct cye_names *names = run->serve->options.names;
+  const char *id = get_header (run, names->request_id);
   if (id[0] != '\0')
-    MHD_add_response_header (response, "Cy-Request-Id", id);
+    MHD_add_response_header (response, names->request_id, id);
+  if (names->stamp != NULL)
+    MHD_add_response_header (response, names->stamp,
+                             run->serve->options.instance);
 }
 
 static enum MHD_Result
@@ -252,7 +259,8 @@
   MHD_add_response_header (response, "Content-Type", "text/plain");
   add_request_id (run, response);
   if (run->fault == CYK_LEAVING)
-    MHD_add_response_header (response, "Cy-Leaving", "1");
+    MHD_add_response_header (response, run->serve->options.names->leaving,
+                             "1");
   unsigned status = MHD_HTTP_OK;
   if (run->fault == CYK_ECHO_KEY)
     {
@@ -271,9 +279,10 @@
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
       5, (void *)"busy\n", MHD_RESPMEM_PERSISTENT);
-  MHD_add_response_header (response, "Cy-Not-Run", "1");
+  const struct cye_names *names = run->serve->options.names;
+  MHD_add_response_header (response, names->not_run, "1");
   if (run->fault == CYK_PAUSE)
-    MHD_add_response_header (response, "Retry-After", CYK_PAUSE_S);
+    MHD_add_response_header (response, names->pause, CYK_PAUSE_S);
   add_request_id (run, response);
   enum MHD_Result result = MHD_queue_response (
       run->connection, MHD_HTTP_SERVICE_UNAVAILABLE, response);
@@ -305,19 +314,20 @@
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
       run->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   const struct sockaddr_in *address = (const void *)caller->client_addr;
+  const struct cye_names *names = run->serve->options.names;
   gpointer port = GUINT_TO_POINTER (address->sin_port);
   GHashTable *refused_ids = run->serve->refused_ids;
   char *id = NULL;
   if (!g_hash_table_steal_extended (refused_ids, port, NULL, (gpointer *)&id))
     {
       g_hash_table_insert (refused_ids, port,
-                           g_strdup (get_header (run, "Cy-Request-Id")));
+                           g_strdup (get_header (run, names->request_id)));
       return true;
     }
   char *text = g_strdup_printf ("HTTP/1.1 503 Service Unavailable\r\n"
-                                "Cy-Not-Run: 1\r\nCy-Request-Id: %s\r\n"
+                                "%s: 1\r\n%s: %s\r\n"
                                 "Content-Length: 0\r\n\r\n",
-                                id);
+                                names->not_run, names->request_id, id);
   if (send (info->connect_fd, text, strlen (text), MSG_NOSIGNAL) < 0)
     cyu_log (G_LOG_LEVEL_WARNING, "the second refusal was not sent: %s",
              g_strerror (errno));
--- a/src/backend/cyk_serve.h
+++ b/src/backend/cyk_serve.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "cy_result.h"
+#include "entry/cye_names.h"
 #include "net/cyn_loop.h"
 
 #define CYK_PAUSE_S     "1.5" /* Retry-After with the fault "pause" */
@@ -47,9 +48,10 @@
   struct cyn_loop *loop;
   const char *service;
   const char *instance;
-  int64_t slots;           /* reported by /load, not enforced */
-  int64_t service_time_ms; /* service time unless work=MS is given */
-  int64_t cold_ms;         /* duration of the slow start, 0: none */
+  const struct cye_names *names; /* of the headers */
+  int64_t slots;                 /* reported by /load, not enforced */
+  int64_t service_time_ms;       /* service time unless work=MS is given */
+  int64_t cold_ms;               /* duration of the slow start, 0: none */
   enum cyk_fault fault;
   int64_t fault_percent; /* share of requests with the fault, 0 to 100 */
   int record_fd;         /* receives one JSON line per request; -1: none */
--- a/src/backend/main.c
+++ b/src/backend/main.c
@@ -19,11 +19,12 @@
 #include "base/cyu_settings.h"
 #include "http/cyh_client.h"
 #include "http/cyh_server.h"
+#include "platform/cyplat_names.h"
 
 #define DRAIN_CHECK_MS 50 /* between checks for open requests */
 
 static char *service, *instance, *zone, *host, *entries, *record_path;
-static char *fault_text;
+static char *fault_text, *dialect_text;
 static int64_t port, announce_port, slots, connections, lease_ms, drain_ms;
 static bool log_json;
 static struct cyk_options serve_options = { .record_fd = -1 };
@@ -50,6 +51,8 @@
     "time that a drain takes at least, ms" },
   { "record", CYU_STRING, &record_path, "", 0, 0,
     "file for one JSON line a request" },
+  { "dialect", CYU_STRING, &dialect_text, "native", 0, 0,
+    "words of the headers: native or platform" },
   { "fault", CYU_STRING, &fault_text, "", 0, 0,
     "healthy-but-silent, lying-load, slow10x, close-after-read, reset, "
     "truncate, late, shed, echo-key, refusal-twice, leaving or pause" },
@@ -151,6 +154,14 @@
       fprintf (stderr, "--fault is \"%s\"; see --help\n", fault_text);
       goto out;
     }
+  enum cyc_dialect dialect = CYC_NATIVE;
+  if (cyc_dialect_read (dialect_text, &dialect) != CY_OK)
+    {
+      fprintf (stderr, "--dialect is \"%s\"; allowed is native or platform\n",
+               dialect_text);
+      goto out;
+    }
+  serve_options.names = cyplat_names_of (dialect);
   cyu_log_start ("cy-backend", instance, log_json);
   signal (SIGPIPE, SIG_IGN);
   cyh_client_global ();
--- a/src/gate/cyg_gate.c
+++ b/src/gate/cyg_gate.c
@@ -154,19 +154,6 @@
 
 /* ------------------------------------------------------------ lifecycle */
 
-static const struct cye_names *
-get_header_names (enum cyc_dialect dialect)
-{
-  switch (dialect)
-    {
-    case CYC_NATIVE:
-      return &cye_native_names;
-    case CYC_PLATFORM:
-      return &cyplat_names;
-    }
-  return &cye_native_names;
-}
-
 static void
 create_shared (struct cyg_gate *gate)
 {
@@ -182,7 +169,7 @@
                                  .peer_port = options->peer_port,
                                  .seeds = options->seeds };
   shared->layout = CYE_HUB;
-  shared->names = get_header_names (options->dialect);
+  shared->names = cyplat_names_of (options->dialect);
   shared->clock = cy_system_clock ();
   shared->vm = options->identity->name;
   shared->zone = options->identity->zone;
--- a/tests/scripts/server_notices.sh
+++ b/tests/scripts/server_notices.sh
@@ -2,18 +2,26 @@
 # Guards against requests to a backend server that asked for none in an answer:
 # one that leaves, and one that refuses with Retry-After.  It must hold while
 # the control VM that places requests changes, and while there is none.
+# Usage: server_notices.sh [native|platform], the dialect of the headers.
 set -u
+dialect=${1:-native}
 cd "$(dirname "$0")/../.."
 source scripts/lib/hubs.sh
+hubs_gate_args=(--dialect "$dialect")
+if [ "$dialect" = platform ]; then
+  hubs_request_id=Cyclamenhaven-Attempt-Id
+  hubs_timeout=Cyclamenhaven-Deadline-Ms
+fi
 cluster_free_port; leaver_port=$PORT
 cluster_free_port; pauser_port=$PORT
 start_backend () { # NAME PORT FLAGS...
   cluster_run "$1" "$cluster_bin/cy-backend" --service s --zone a \
     --host "$hubs_server" --instance "$1" --port "$2" --slots 4 \
+    --dialect "$dialect" \
     --record "$cluster_dir/$1.runs" "${@:3}"
   cluster_wait_ready "$1" || exit 1
 }
-hubs_start --instance steady --slots 4 --record "$cluster_dir/steady.runs"
+hubs_start --instance steady --slots 4 --dialect "$dialect" --record "$cluster_dir/steady.runs"
 start_backend leaver "$leaver_port" --fault leaving
 start_backend pauser "$pauser_port" --fault pause
 hubs_declare '"timeout_ms":3000,"goal_ms":2000,"attempts":3,"idempotent":true'
