--- a/src/core/cyc_view_schedule.h
+++ b/src/core/cyc_view_schedule.h
@@ -1,7 +1,7 @@
 /* What a control VM has sent to one entry VM on its connection, and what the
    next view must contain.  Most of the control VMs that an entry VM is
-   connected to only have to be alive: they send neither the servers nor, again,
-   the list of control VMs.  Pure.  */
+   connected to only have to be alive: they send neither the servers nor,
+   again, the list of control VMs.  Pure.  */
 
 #ifndef CYC_VIEW_SCHEDULE_H
 #define CYC_VIEW_SCHEDULE_H
--- a/src/net/cyn_counters.c
+++ b/src/net/cyn_counters.c
@@ -53,8 +53,8 @@
   char *labels = g_strdup_printf ("message=\"%s\",to=\"%s\"",
                                   field == NULL ? "" : field->name,
                                   other_zone ? "other_zone" : "zone");
-  struct cyu_metric *metric = cyu_counter (
-      "cy_net_sent_bytes_total", labels, "Bytes of messages by their kind.");
+  struct cyu_metric *metric = cyu_counter ("cy_net_sent_bytes_total", labels,
+                                           "Bytes of messages by their kind.");
   g_free (labels);
   return metric;
 }
