--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -322,12 +322,14 @@
              && strcmp (peer->region, peer->hub->options.region) != 0);
 }
 
+/* Sends SYNC, which the function completes for PEER.  UNNAMED takes the place
+   of the sender in SYNC when PEER has got the names lately.  */
 static void
-send_sync (struct cyc_peer *peer, Cy__HubSync *sync, cy_time_ns now)
+send_sync (struct cyc_peer *peer, Cy__HubSync *sync, Cy__ControlVm *unnamed,
+           cy_time_ns now)
 {
   struct cyc_hub *hub = peer->hub;
   Cy__Envelope envelope = CY__ENVELOPE__INIT;
-  Cy__ControlVm unnamed = *sync->self;
   bool names_due
       = peer->names_sent_at == 0
         || now - peer->names_sent_at >= CYC_NAMES_INTERVAL_MS * CY_NS_PER_MS;
@@ -339,10 +341,7 @@
   if (names_due)
     fill_known (hub, sync);
   else
-    {
-      unnamed.vm = unnamed.zone = unnamed.region = (char *)"";
-      sync->self = &unnamed;
-    }
+    sync->self = unnamed;
   sync->heard_epoch = peer->epoch;
   sync->heard_sequence = peer->received_sequence;
   envelope.body_case = CY__ENVELOPE__BODY_HUB_SYNC;
@@ -375,6 +374,8 @@
   self.port = hub->options.port;
   self.http_port = hub->options.http_port;
   self.member = hub->member;
+  Cy__ControlVm unnamed = self;
+  unnamed.vm = unnamed.zone = unnamed.region = (char *)"";
   Cy__HubSync common = CY__HUB_SYNC__INIT;
   common.self = &self;
   common.epoch = hub->epoch;
@@ -402,7 +403,7 @@
     Cy__HubSync sync = common;
     if (heartbeat || peer->sent_sequence < common.sequence
         || peer->last_sent == 0 || peer->ack_due)
-      send_sync (peer, &sync, now);
+      send_sync (peer, &sync, &unnamed, now);
     peer->ack_due = false;
   }
   if (heartbeat)
