A log has room for 64 members: 18 control VMs all join

What operators saw: nothing; two of the large site's 18 control VMs never became members, held no declaration and could not place requests.

Cause: CYR_MEMBERS_MAX was 16.

Change: 64; the log line before the change no longer says that it is done.

--- a/src/core/cyr_members.h
+++ b/src/core/cyr_members.h
@@ -12,7 +12,7 @@
 
 #include "cy.pb-c.h"
 
-#define CYR_MEMBERS_MAX 16 /* members of one set, learners included */
+#define CYR_MEMBERS_MAX 64 /* members of one set, learners included */
 
 struct cyr_members;
 
--- a/src/hub/cyc_join.c
+++ b/src/hub/cyc_join.c
@@ -100,7 +100,7 @@
   member.host = peer->host;
   member.port = hub->options.port;
   member.http_port = peer->http_port;
-  cyu_log (G_LOG_LEVEL_INFO, "member %" PRIu64 " at %s is added", peer->member,
+  cyu_log (G_LOG_LEVEL_INFO, "adding member %" PRIu64 " at %s", peer->member,
            peer->host);
   cyx_replica_add_member (hub->replica, &member, on_membership_changed, hub);
 }
--- a/tests/replica/test_core.c
+++ b/tests/replica/test_core.c
@@ -124,6 +124,8 @@
   { 6, 6, 0, RESTART_MAX_MS, 495 },
   { 9, 9, 0, RESTART_EXPECTED_MS, 495 },
   { 9, 9, 0, RESTART_MAX_MS, 495 },
+  { 18, 18, 0, RESTART_EXPECTED_MS, 495 },
+  { 18, 18, 0, RESTART_MAX_MS, 495 },
 };
 
 static bool
@@ -315,6 +317,25 @@
 }
 END_TEST
 
+/* Guards against control VMs that never join: two in each of nine zones are
+   more than a set of members had room for.  */
+#define LARGE_FLEET_MEMBERS 18
+
+START_TEST (test_large_fleet_joins)
+{
+  struct node *leader = find_leader_except (NULL);
+  for (size_t count = MEMBERS; count < LARGE_FLEET_MEMBERS; count++)
+    {
+      add_learner (leader, CY_NS_PER_MS);
+      ck_assert_msg (cluster.last_result == CY_OK, "member %zu: %s", count + 1,
+                     cy_result_name (cluster.last_result));
+      run_for (2 * SETTLE_NS);
+    }
+  ck_assert_uint_eq (cyr_members_voters (cyr_core_members (leader->core)),
+                     LARGE_FLEET_MEMBERS);
+}
+END_TEST
+
 /* A removed member is informed of its removal, also when it was stopped at
    that time.  */
 START_TEST (test_removed_is_informed)
@@ -417,6 +438,7 @@
   tcase_add_test (tcase, test_leader_link_cut);
   tcase_add_test (tcase, test_change_waits);
   tcase_add_test (tcase, test_learner_waits);
+  tcase_add_test (tcase, test_large_fleet_joins);
   tcase_add_loop_test (tcase, test_removed_is_informed, 0, 2);
   tcase_add_test (tcase, test_window);
   tcase_add_test (tcase, test_batch);
--- a/tests/replica/world_disk.h
+++ b/tests/replica/world_disk.h
@@ -11,7 +11,7 @@
 #include "core/cyr_core.h"
 #include "cy_test.h"
 
-#define NODES_MAX   12
+#define NODES_MAX   18
 #define CHUNK_BYTES 48 /* snapshot bytes in one message */
 
 /* ------------------------------------------------------------ types */
