--- a/review/lib/stand.c
+++ b/review/lib/stand.c
@@ -601,11 +601,11 @@
             server->id);
   snprintf (body, sizeof body,
             "{\"addr\":\"%s:%d\",\"born\":%lld,\"info\":{\"service\":\"%s\","
-            "\"version\":\"v1\",\"zone\":\"%s\",\"slots\":6},\"status\":{"
+            "\"version\":\"v1\",\"zone\":\"%s\",\"slots\":%d},\"status\":{"
             "\"state\":\"%s\",\"seq\":%d,\"warmupLeft\":\"0ms\"}}",
             st_ip (41, server->number, ip), ST_SERVER_PORT,
-            (long long)server->born, server->service, server->zone, state,
-            sequence);
+            (long long)server->born, server->service, server->zone,
+            server->slots == 0 ? 6 : server->slots, state, sequence);
   return st_call (target, body, NULL, 0, 4000);
 }
 
--- a/review/lib/stand.h
+++ b/review/lib/stand.h
@@ -114,6 +114,7 @@
   const char *service;
   const char *zone;
   int number; /* of its address */
+  int slots;  /* 0: 6 */
   st_serve_fn serve;
   int64_t born;
   int sequence;
