review: a retired member keeps others out, and the configuration is lost

A control VM that froze and was replaced by another one of its zone asks to join again for ever; machines that lose their disks later are not admitted, and after three no majority is left.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 when the rule was broken, 0 when it held, 2 when it could not
 # run.  TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/drain review/4/record.txt
+exec target/review/config review/4/record.txt
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in early config drain homes open; do
+for name in join early stale config drain; do
   "${CC:-cc}" -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra -I. -pthread \
     -o "target/review/$name" "review/$name.c" review/lib/stand.c
 done
--- a/review/lib/stand.c
+++ b/review/lib/stand.c
@@ -24,7 +24,7 @@
 
 static char net[20];
 static char folder[64];
-static pid_t hub_pids[ST_HUBS];
+static pid_t hub_pids[ST_HUBS_MAX];
 static pid_t gate_pids[ST_GATES];
 static FILE *record_file;
 static int64_t started_at;
@@ -105,7 +105,7 @@
           ST_LOOKUP_PORT, ST_FRONT_PORT, ST_SERVER_PORT };
   char ip[32];
   for (int part = 1; part <= 41; part += 20)
-    for (int i = 0; i < ST_HUBS; i++)
+    for (int i = 0; i < ST_HUBS_MAX; i++)
       for (size_t k = 0; k < sizeof ports / sizeof *ports; k++)
         if (!is_free (st_ip (part, i, ip), ports[k]))
           return false;
@@ -163,7 +163,7 @@
 {
   char command[128];
   const char *keep = getenv ("KEEP");
-  for (int i = 0; i < ST_HUBS; i++)
+  for (int i = 0; i < ST_HUBS_MAX; i++)
     stop (&hub_pids[i]);
   for (int i = 0; i < ST_GATES; i++)
     stop (&gate_pids[i]);
@@ -190,16 +190,16 @@
   snprintf (seeds, sizeof seeds, "%s:%d,%s:%d,%s:%d", st_ip (1, 0, ip[0]),
             ST_CONTROL_PORT, st_ip (1, 1, ip[1]), ST_CONTROL_PORT,
             st_ip (1, 2, ip[2]), ST_CONTROL_PORT);
-  snprintf (name, sizeof name, "core-%s-1", st_zones[number]);
+  const char *zone = st_zones[number % ST_HUBS];
+  snprintf (name, sizeof name, "core-%s-%d", zone, number / ST_HUBS + 1);
   snprintf (data, sizeof data, "%s/%s", folder, name);
   mkdir (data, 0755);
-  char region[4]
-      = { st_zones[number][0], st_zones[number][1], st_zones[number][2], 0 };
+  char region[4] = { zone[0], zone[1], zone[2], 0 };
   const char *const words[] = { "target/bin/cy-hub",
                                 "--vm",
                                 name,
                                 "--zone",
-                                st_zones[number],
+                                zone,
                                 "--region",
                                 region,
                                 "--regions",
@@ -236,12 +236,31 @@
   hub_pids[number] = start (name, words);
 }
 
+void
+st_signal_hub (int number, int signal)
+{
+  kill (hub_pids[number], signal);
+}
+
 void
 st_kill_hub (int number)
 {
   stop (&hub_pids[number]);
 }
 
+void
+st_wipe_hub (int number, int64_t down_ms)
+{
+  char command[192];
+  st_kill_hub (number);
+  snprintf (command, sizeof command, "rm -rf %s/core-%s-%d", folder,
+            st_zones[number % ST_HUBS], number / ST_HUBS + 1);
+  if (system (command) != 0) /* NOLINT(cert-env33-c) */
+    st_exit (2);
+  st_sleep_ms (down_ms);
+  st_start_hub (number, false);
+}
+
 void
 st_start_gate (int number)
 {
--- a/review/lib/stand.h
+++ b/review/lib/stand.h
@@ -11,8 +11,9 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define ST_HUBS         6 /* control VMs, one in each zone */
-#define ST_GATES        6 /* entry VMs, one in each zone */
+#define ST_HUBS         6  /* control VMs, one in each zone */
+#define ST_HUBS_MAX     12 /* with those that are added */
+#define ST_GATES        6  /* entry VMs, one in each zone */
 #define ST_CONTROL_PORT 8200
 #define ST_READY_PORT   8201
 #define ST_LOOKUP_PORT  8205
@@ -35,6 +36,14 @@
    time.  */
 void st_start_hub (int number, bool first);
 void st_kill_hub (int number);
+
+/* Kills control VM NUMBER, empties its disk and starts it again after
+   DOWN_MS.  */
+void st_wipe_hub (int number, int64_t down_ms);
+
+/* Sends SIGNAL to control VM NUMBER.  */
+void st_signal_hub (int number, int signal);
+
 void st_start_gate (int number);
 
 /* True when entry VM NUMBER runs.  */
