--- a/src/control/cyx_replica.c
+++ b/src/control/cyx_replica.c
@@ -234,6 +234,12 @@
   return cyx_replica_is_leader (replica) && cyr_core_is_ready (replica->core);
 }
 
+bool
+cyx_replica_is_removed (const struct cyx_replica *replica)
+{
+  return cyr_core_is_removed (replica->core);
+}
+
 uint64_t
 cyx_replica_term (const struct cyx_replica *replica)
 {
--- a/src/control/cyx_replica.h
+++ b/src/control/cyx_replica.h
@@ -86,6 +86,10 @@
    that its state holds all acknowledged changes.  */
 bool cyx_replica_is_ready (const struct cyx_replica *replica);
 
+/* True when a committed member set lists this member as removed.  It never
+   becomes a member again.  */
+bool cyx_replica_is_removed (const struct cyx_replica *replica);
+
 uint64_t cyx_replica_term (const struct cyx_replica *replica);
 
 /* Member id of the leader, 0 if unknown.  */
--- /dev/null
+++ b/src/core/cyc_admission.h
@@ -0,0 +1,55 @@
+/* Chooses the next change of the log's members, without an operator: a control
+   VM that is no member is added, after the member that it replaces has been
+   removed.
+
+   Candidates take turns, so that one whose admission fails does not keep the
+   others out.  A retired id never becomes a member again; a control VM that
+   has one joins again under a new id.  */
+
+#ifndef CYC_ADMISSION_H
+#define CYC_ADMISSION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/cy_clock.h"
+#include "cy.pb-c.h"
+
+/* Time without a message after which a member is replaced by a candidate of
+   its zone, s.  */
+#define CYC_REPLACE_TIMEOUT_S 5
+
+/* Control VM as its messages describe it.  */
+struct cyc_admission_vm
+{
+  uint64_t member;          /* id in the log, 0: unknown */
+  const char *host;         /* address */
+  const char *zone;         /* NULL: unknown */
+  bool is_candidate;        /* reachable, and asks to become a member */
+  cy_time_ns last_received; /* time of its last message */
+  cy_time_ns tried_at;      /* time of its last admission, 0: never */
+};
+
+enum cyc_admission_kind
+{
+  CYC_ADMISSION_NONE,
+  CYC_ADMISSION_ADD,
+  CYC_ADMISSION_REPLACE
+};
+
+struct cyc_admission
+{
+  enum cyc_admission_kind kind;
+  size_t candidate;           /* index of the VM; not with NONE */
+  const Cy__Member *replaced; /* member to remove first; with REPLACE */
+};
+
+/* Chooses among VMS, of which there are COUNT.  SELF is the id of the leader,
+   which is never replaced.  */
+struct cyc_admission cyc_admission_choose (const Cy__MemberSet *members,
+                                           const struct cyc_admission_vm *vms,
+                                           size_t count, uint64_t self,
+                                           cy_time_ns now);
+
+#endif /* CYC_ADMISSION_H */
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -91,12 +91,14 @@
   bool ack_due;               /* the peer needs RECEIVED_SEQUENCE */
   bool isolated;              /* the peer reaches no majority */
   bool wants_join;            /* the peer is no member of the log yet */
-  bool is_leader;             /* the peer leads the log and is ready */
-  uint64_t committed_count;   /* committed records that the peer reported */
-  GHashTable *borrowed;       /* servers of the peer's region with slots on
-                                 loan here: id to uint64_t incarnation */
-  uint32_t attached_entries;  /* entry VMs whose requests the peer places */
-  GHashTable *placed_counts;  /* service to struct cym_retry_last_report */
+  cy_time_ns admission_tried_at; /* time of the last attempt to make the peer a
+                                    member, 0: none */
+  bool is_leader;                /* the peer leads the log and is ready */
+  uint64_t committed_count;      /* committed records that the peer reported */
+  GHashTable *borrowed;          /* servers of the peer's region with slots on
+                                    loan here: id to uint64_t incarnation */
+  uint32_t attached_entries;     /* entry VMs whose requests the peer places */
+  GHashTable *placed_counts;     /* service to struct cym_retry_last_report */
 };
 
 /* Slots of one service here that the placer of another region could use.  */
@@ -198,6 +200,10 @@
 /* ---- cyc_log.c */
 cy_result cyc_log_create (struct cyc_hub *hub);
 void cyc_log_destroy (struct cyc_hub *hub);
+
+/* Discards the log of this VM, whose member was removed, and joins again as a
+   new member.  Without effect while the disk cannot be written.  */
+void cyc_log_rejoin (struct cyc_hub *hub);
 bool cyc_log_is_drained (const struct cyc_hub *hub, const char *zone);
 
 /* Returns the time at which the servers of ZONE are warm after the end of the
--- a/src/hub/cyc_join.c
+++ b/src/hub/cyc_join.c
@@ -1,20 +1,15 @@
 /* Membership of the log without an operator.  A control VM that is no member
    reports that to its peers; the leader adds it as a learner, and the log
-   makes it a voter once it has caught up.  A control VM that starts with an
-   empty folder at the address of a member replaces that member.  A new control
-   VM also replaces a member of its zone that has sent nothing for
-   REPLACE_TIMEOUT_S.  */
+   makes it a voter once it has caught up.  A control VM that was replaced
+   while it did not run discards its log and joins again as a new member.  */
 
 #include <inttypes.h>
 #include <string.h>
 
 #include "base/cyu_log.h"
+#include "core/cyc_admission.h"
 #include "hub/cyc_internal.h"
 
-/* Time without a message after which a member is replaced by a new control VM
-   of its zone, s.  */
-#define REPLACE_TIMEOUT_S 5
-
 static const Cy__Member *
 find_member (const struct cyc_hub *hub, uint64_t id)
 {
@@ -47,54 +42,40 @@
              cy_result_text (result));
 }
 
-/* Returns the peer with member id ID, NULL if no message of that member has
-   arrived.  */
-static const struct cyc_peer *
-find_peer_of_member (const struct cyc_hub *hub, uint64_t id)
+/* Returns what the peers reported, in the order of the list of peers, and sets
+ *COUNT.  Freed by the caller.  */
+static struct cyc_admission_vm *
+list_vms (const struct cyc_hub *hub, cy_time_ns now, size_t *count)
 {
   const struct cyc_peer *peer = NULL;
+  GArray *vms = g_array_new (FALSE, FALSE, sizeof (struct cyc_admission_vm));
   CK_LIST_FOREACH (peer, &hub->peers, entry)
   {
-    if (peer->member == id)
-      return peer;
+    struct cyc_admission_vm vm
+        = { .member = peer->member,
+            .host = peer->host,
+            .zone = peer->zone,
+            .is_candidate = peer->wants_join && cyc_peer_is_live (peer, now),
+            .last_received = peer->last_received,
+            .tried_at = peer->admission_tried_at };
+    g_array_append_val (vms, vm);
   }
-  return NULL;
+  *count = vms->len;
+  return (struct cyc_admission_vm *)(void *)g_array_free (vms, FALSE);
 }
 
-/* Returns the member that PEER replaces, NULL if it replaces none.  */
-static const Cy__Member *
-find_replaced_member (const struct cyc_hub *hub, const struct cyc_peer *peer,
-                      cy_time_ns now)
+static struct cyc_peer *
+nth_peer (const struct cyc_hub *hub, size_t position)
 {
-  const Cy__MemberSet *set = cyx_replica_members (hub->replica);
-  for (size_t i = 0; i < set->n_members; i++)
-    {
-      const Cy__Member *member = set->members[i];
-      if (member->id == hub->member)
-        continue;
-      if (strcmp (member->host, peer->host) == 0)
-        return member;
-      const struct cyc_peer *previous = find_peer_of_member (hub, member->id);
-      if (previous != NULL && g_strcmp0 (previous->zone, peer->zone) == 0
-          && now - previous->last_received > REPLACE_TIMEOUT_S * CY_NS_PER_S)
-        return member;
-    }
-  return NULL;
+  struct cyc_peer *peer = CK_LIST_FIRST (&hub->peers);
+  while (position-- > 0)
+    peer = CK_LIST_NEXT (peer, entry);
+  return peer;
 }
 
 static void
-admit_peer (struct cyc_hub *hub, const struct cyc_peer *peer, cy_time_ns now)
+add_peer (struct cyc_hub *hub, const struct cyc_peer *peer)
 {
-  const Cy__Member *replaced = find_replaced_member (hub, peer, now);
-  if (replaced != NULL)
-    {
-      cyu_log (G_LOG_LEVEL_INFO,
-               "member %" PRIu64 " at %s is replaced by %" PRIu64 " at %s",
-               replaced->id, replaced->host, peer->member, peer->host);
-      cyx_replica_remove_member (hub->replica, replaced->id,
-                                 on_membership_changed, hub);
-      return;
-    }
   Cy__Member member = CY__MEMBER__INIT;
   member.id = peer->member;
   member.host = peer->host;
@@ -105,20 +86,48 @@
   cyx_replica_add_member (hub->replica, &member, on_membership_changed, hub);
 }
 
-void
-cyc_join_heartbeat (struct cyc_hub *hub)
+static void
+remove_replaced (struct cyc_hub *hub, const Cy__Member *replaced,
+                 const struct cyc_peer *peer)
+{
+  cyu_log (G_LOG_LEVEL_INFO,
+           "member %" PRIu64 " at %s is replaced by %" PRIu64 " at %s",
+           replaced->id, replaced->host, peer->member, peer->host);
+  cyx_replica_remove_member (hub->replica, replaced->id, on_membership_changed,
+                             hub);
+}
+
+static void
+admit_next (struct cyc_hub *hub)
 {
+  size_t count = 0;
   cy_time_ns now = cyc_now (hub);
-  const struct cyc_peer *peer = NULL;
-  if (!cyx_replica_is_ready (hub->replica))
+  struct cyc_admission_vm *vms = list_vms (hub, now, &count);
+  struct cyc_admission admission = cyc_admission_choose (
+      cyx_replica_members (hub->replica), vms, count, hub->member, now);
+  g_free (vms);
+  if (admission.kind == CYC_ADMISSION_NONE)
     return;
-  CK_LIST_FOREACH (peer, &hub->peers, entry)
-  {
-    if (peer->wants_join && cyc_peer_is_live (peer, now)
-        && !cyc_join_has_member (hub, peer->member))
-      {
-        admit_peer (hub, peer, now);
-        return;
-      }
-  }
+  struct cyc_peer *peer = nth_peer (hub, admission.candidate);
+  peer->admission_tried_at = now;
+  switch (admission.kind)
+    {
+    case CYC_ADMISSION_NONE:
+      break;
+    case CYC_ADMISSION_ADD:
+      add_peer (hub, peer);
+      break;
+    case CYC_ADMISSION_REPLACE:
+      remove_replaced (hub, admission.replaced, peer);
+      break;
+    }
+}
+
+void
+cyc_join_heartbeat (struct cyc_hub *hub)
+{
+  if (cyx_replica_is_removed (hub->replica))
+    cyc_log_rejoin (hub);
+  else if (cyx_replica_is_ready (hub->replica))
+    admit_next (hub);
 }
--- a/src/hub/cyc_log.c
+++ b/src/hub/cyc_log.c
@@ -3,12 +3,14 @@
 
 #include <inttypes.h>
 #include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
 #include "base/cyu_log.h"
 #include "hub/cyc_internal.h"
 #include "store/cyd_identity.h"
+#include "store/cyd_store.h"
 
 #define DRAIN_PREFIX "drain/zone:"
 #define OPERATOR     "operator"
@@ -220,16 +222,9 @@
   return set;
 }
 
-cy_result
-cyc_log_create (struct cyc_hub *hub)
+static cy_result
+open_replica (struct cyc_hub *hub, const Cy__MemberSet *bootstrap_set)
 {
-  bool is_bootstrap_member = hub->options.bootstrap && is_seed (hub);
-  Cy__MemberSet *bootstrap_set
-      = is_bootstrap_member ? make_bootstrap_set (hub) : NULL;
-  hub->member = choose_member (hub, is_bootstrap_member);
-  /* A restart applies many records at once; only the state after the last one
-     is used.  */
-  hub->state_timer = cyn_timer_create (hub->options.loop, state_due, hub);
   struct cyx_replica_options options = {
     .loop = hub->options.loop,
     .identity = hub->options.identity,
@@ -240,12 +235,58 @@
     .machine
     = { machine_apply, machine_save, machine_load, machine_changed, hub },
   };
-  cy_result result = cyx_replica_create (&options, &hub->replica);
+  return cyx_replica_create (&options, &hub->replica);
+}
+
+cy_result
+cyc_log_create (struct cyc_hub *hub)
+{
+  bool is_bootstrap_member = hub->options.bootstrap && is_seed (hub);
+  Cy__MemberSet *bootstrap_set
+      = is_bootstrap_member ? make_bootstrap_set (hub) : NULL;
+  hub->member = choose_member (hub, is_bootstrap_member);
+  /* A restart applies many records at once; only the state after the last one
+     is used.  */
+  hub->state_timer = cyn_timer_create (hub->options.loop, state_due, hub);
+  cy_result result = open_replica (hub, bootstrap_set);
   if (bootstrap_set != NULL)
     cy__member_set__free_unpacked (bootstrap_set, NULL);
   return result;
 }
 
+void
+cyc_log_rejoin (struct cyc_hub *hub)
+{
+  uint64_t removed = hub->member;
+  cy_result result
+      = cyd_store_discard (cyd_system_files (), hub->options.data_folder);
+  if (result != CY_OK)
+    {
+      cyu_log (G_LOG_LEVEL_WARNING,
+               "removed member %" PRIu64 " cannot join again yet: %s", removed,
+               cy_result_text (result));
+      return;
+    }
+  cyx_replica_destroy (hub->replica);
+  hub->replica = NULL;
+  cys_state_destroy (hub->state);
+  hub->state = cys_state_create ();
+  hub->serving = (struct cyc_serving){ 0 };
+  hub->member = choose_member (hub, false);
+  result = open_replica (hub, NULL);
+  if (result != CY_OK)
+    {
+      cyu_log (G_LOG_LEVEL_CRITICAL,
+               "data folder cannot be used again, stopping: %s",
+               cy_result_text (result));
+      cyu_log_stop (CYU_LOG_STOP_MS);
+      abort ();
+    }
+  cyu_log (G_LOG_LEVEL_WARNING,
+           "member %" PRIu64 " was removed, joins again as %" PRIu64, removed,
+           hub->member);
+}
+
 void
 cyc_log_destroy (struct cyc_hub *hub)
 {
--- a/src/store/cyd_identity.c
+++ b/src/store/cyd_identity.c
@@ -89,11 +89,24 @@
   return result;
 }
 
+bool
+cyd_identity_is_discarded (const struct cyd_files *files, const char *path)
+{
+  char **names = files->list (files->context, path);
+  bool found
+      = names != NULL
+        && g_strv_contains ((const char *const *)names, CYD_DISCARD_NAME);
+  g_strfreev (names);
+  return found;
+}
+
 cy_result
 cyd_identity_member (const struct cyd_files *files, const char *path,
                      uint64_t *member)
 {
   GByteArray *content = NULL;
+  if (cyd_identity_is_discarded (files, path))
+    return CY_E_NOT_FOUND;
   cy_result result = cyd_file_load (files, path, IDENTITY_NAME, &content);
   if (result != CY_OK)
     return result;
--- a/src/store/cyd_store.c
+++ b/src/store/cyd_store.c
@@ -13,6 +13,7 @@
 #include "store/cyd_vote.h"
 
 #define FOUNDING_NAME "founding"
+#define LOCK_NAME     "lock"
 
 struct cyd_store
 {
@@ -41,7 +42,7 @@
 static cy_result
 acquire_lock (struct cyd_store *store)
 {
-  char *path = g_strdup_printf ("%s/lock", store->path);
+  char *path = g_strdup_printf ("%s/" LOCK_NAME, store->path);
   store->lock_fd
       = store->files->open (store->files->context, path, O_RDWR | O_CREAT);
   g_free (path);
@@ -54,6 +55,40 @@
   return CY_E_STORE_LOCKED;
 }
 
+cy_result
+cyd_store_discard (const struct cyd_files *files, const char *path)
+{
+  GByteArray *content = g_byte_array_new ();
+  cy_result result = cyd_file_replace (files, path, CYD_DISCARD_NAME, content);
+  g_byte_array_unref (content);
+  return result;
+}
+
+/* Removes all files of a discarded folder.  The mark is the last of them: a
+   folder that has lost only some of its files would not open.  */
+static cy_result
+remove_discarded (const struct cyd_store *store)
+{
+  const struct cyd_files *files = store->files;
+  cy_result result = CY_OK;
+  if (!cyd_identity_is_discarded (files, store->path))
+    return CY_OK;
+  char **names = files->list (files->context, store->path);
+  for (char **name = names; name != NULL && *name != NULL && result == CY_OK;
+       name++)
+    if (strcmp (*name, LOCK_NAME) != 0 && strcmp (*name, CYD_DISCARD_NAME) != 0
+        && (*name)[0] != '.')
+      result = cyd_file_unlink (files, store->path, *name);
+  g_strfreev (names);
+  if (result == CY_OK)
+    result = cyd_sync_folder (files, store->path);
+  if (result == CY_OK)
+    result = cyd_file_unlink (files, store->path, CYD_DISCARD_NAME);
+  if (result == CY_OK)
+    result = cyd_sync_folder (files, store->path);
+  return result;
+}
+
 /* Removes temporary files of writes that a crash interrupted.  */
 static void
 remove_unfinished (struct cyd_store *store)
@@ -152,6 +187,9 @@
   if (files->make_folder (files->context, options->path) != 0)
     goto done;
   result = acquire_lock (opened);
+  if (result != CY_OK)
+    goto done;
+  result = remove_discarded (opened);
   if (result != CY_OK)
     goto done;
   remove_unfinished (opened);
--- a/src/store/cyd_store.h
+++ b/src/store/cyd_store.h
@@ -9,7 +9,8 @@
      founding    first member set that this folder accepted
      log-N       records from N on
      spare       the next file of the log, preallocated
-     snapshot-N  state after record N  */
+     snapshot-N  state after record N
+     discard     the next opening removes all files, for another member  */
 
 #ifndef CYD_STORE_H
 #define CYD_STORE_H
@@ -37,6 +38,12 @@
   uint32_t segment_bytes; /* size of a segment file, 0: CYD_SEGMENT_BYTES */
 };
 
+/* Marks the folder of a member that was removed from the cluster: from now on
+   cyd_identity_member finds no member, and the next cyd_store_open starts with
+   an empty folder.  Durable.  The folder may be open.  CY_E_STORE_FULL,
+   CY_E_STORE_SYNC, CY_E_IO.  */
+cy_result cyd_store_discard (const struct cyd_files *files, const char *path);
+
 /* State read from the data folder; freed by cyd_recovered_clear.  */
 struct cyd_recovered
 {
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -2,6 +2,7 @@
    and missing files, short writes, a full disk, failed syncs.  */
 
 #include "cy_test.h"
+#include "store/cyd_identity.h"
 #include "store/cyd_record.h"
 #include "store/cyd_store.h"
 #include "store/fake_files.h"
@@ -328,6 +329,31 @@
 }
 END_TEST
 
+/* A discarded folder opens as an empty one of another member, after a power
+   failure at any operation of the discarding or of the next opening, too.  */
+START_TEST (test_power_cut_in_discard)
+{
+  uint64_t member = 0;
+  seed = (uint64_t)_i + 1;
+  make_folder ();
+  disk.operations_left = _i;
+  bool done = cyd_store_discard (&disk.files, CYD_FOLDER) == CY_OK;
+  if (done && open_as ("c1", 2) == CY_OK)
+    close_store ();
+  fake_power_cut (&disk, &random_source);
+  cy_result result = cyd_identity_member (&disk.files, CYD_FOLDER, &member);
+  ck_assert_msg (result == CY_OK || result == CY_E_NOT_FOUND, "cut %d: %s", _i,
+                 cy_result_text (result));
+  ck_assert_msg (!done || result == CY_E_NOT_FOUND || member == 2,
+                 "cut %d: the discarded member is used", _i);
+  bool is_old = result == CY_OK && member == 1;
+  ck_assert_int_eq (open_as ("c1", is_old ? 1 : 2), CY_OK);
+  ck_assert_uint_eq (recovered_last_index (), is_old ? 60 : 0);
+  ck_assert_uint_eq (recovered.term, is_old ? 3 : 0);
+  close_store ();
+}
+END_TEST
+
 /* After a power failure while a leader's snapshot replaces a log that diverged
    from the leader's, the store opens.  It holds the snapshot alone, or the old
    log if the installation was not reported as done.  */
@@ -583,6 +609,7 @@
   tcase_add_loop_test (tcase, test_committed_power_cut, 0, CUT_SEEDS);
   tcase_add_loop_test (tcase, test_power_cut, 0, CUT_SEEDS);
   tcase_add_loop_test (tcase, test_power_cut_at_creation, 0, 60);
+  tcase_add_loop_test (tcase, test_power_cut_in_discard, 0, 90);
   tcase_add_loop_test (tcase, test_power_cut_in_install, 0, 60);
   tcase_add_loop_test (tcase, test_damage, 0, G_N_ELEMENTS (damages));
   tcase_add_loop_test (tcase, test_last_record_damaged, 0, 93);
