--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -19,6 +19,8 @@
   struct cye_answer_head head;
   size_t head_bytes; /* of all answer heads, interim ones too */
   struct cye_buffer body;
+  uint64_t body_bytes;    /* received of the answer's body */
+  uint64_t sent_bytes;    /* passed to libcurl of the request's body */
   bool opened_connection; /* libcurl opened a connection for the call */
   bool expired;   /* it was not sent: SEND_BY or MAY_SEND of the options */
   int send_count; /* times that libcurl sent the request: 0 or 1 */
@@ -42,6 +44,7 @@
   buffer->array = g_byte_array_new ();
   buffer->consumed = 0;
   buffer->complete = false;
+  buffer->cut = false;
 }
 
 void
@@ -183,8 +186,10 @@
     {
       call->write_paused = true;
       call->paused_at = cy_clock_now (call->options.clock);
+      notify_change (call);
       return CURL_WRITEFUNC_PAUSE;
     }
+  call->body_bytes += length;
   cye_buffer_append (&call->body, data, length);
   notify_change (call);
   return length;
@@ -196,12 +201,18 @@
   struct cye_call *call = context;
   struct cye_buffer *upload = call->options.upload;
   size_t room = size * count;
-  if (cye_buffer_unread (upload) == 0 && !upload->complete)
+  int64_t length = call->options.upload_length;
+  if (cye_buffer_unread (upload) == 0 && (!upload->complete || upload->cut))
     {
       call->read_paused = true;
       return CURL_READFUNC_PAUSE;
     }
   size_t taken = cye_buffer_read (upload, out, room, false);
+  call->sent_bytes += taken;
+  /* libcurl would keep the connection and send the next request where the rest
+     of this body is due.  */
+  if (taken == 0 && length >= 0 && call->sent_bytes < (uint64_t)length)
+    return CURL_READFUNC_ABORT;
   notify_change (call);
   return taken;
 }
@@ -331,11 +342,59 @@
 
 /* ------------------------------------------------------------ progress */
 
+uint64_t
+cye_answer_length (const struct cye_answer_head *head)
+{
+  const char *found = NULL;
+  for (guint i = 0; i < head->names->len; i++)
+    {
+      const char *name = g_ptr_array_index (head->names, i);
+      /* Chunks go before a length.  */
+      if (strcasecmp (name, "Transfer-Encoding") == 0)
+        return CYE_ANSWER_LENGTH_UNKNOWN;
+      if (found == NULL && strcasecmp (name, "Content-Length") == 0)
+        found = g_ptr_array_index (head->values, i);
+    }
+  return found == NULL ? CYE_ANSWER_LENGTH_UNKNOWN
+                       : g_ascii_strtoull (found, NULL, 10);
+}
+
+bool
+cye_call_has_whole_answer (const struct cye_call *call)
+{
+  if (!call->head.complete)
+    return false;
+  if (call->head.status == 204 || call->head.status == 304
+      || strcmp (call->options.method, "HEAD") == 0)
+    return true;
+  uint64_t length = cye_answer_length (&call->head);
+  return length != CYE_ANSWER_LENGTH_UNKNOWN && call->body_bytes >= length;
+}
+
+bool
+cye_call_waits_for_reader (const struct cye_call *call)
+{
+  return call->write_paused;
+}
+
+void
+cye_call_stop_sending (struct cye_call *call)
+{
+  if (call->ended)
+    return;
+  cyh_client_remove (call->options.client, call->easy);
+  cye_call_done (call->easy, CURLE_OK);
+}
+
 void
 cye_call_done (CURL *easy, CURLcode code)
 {
   struct cye_call *call = NULL;
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &call);
+  /* A server may answer and close without reading the whole request.  */
+  if (code != CURLE_OK && call->options.upload != NULL
+      && cye_call_has_whole_answer (call))
+    code = CURLE_OK;
   call->ended = true;
   call->code = code;
   call->ended_at = cy_clock_now (call->options.clock);
@@ -370,9 +429,10 @@
   bool resume_read
       = call->write_paused
         && cye_buffer_unread (&call->body) <= CYE_BUFFER_BYTES / 4;
-  bool resume_send = call->read_paused
-                     && (cye_buffer_unread (call->options.upload) > 0
-                         || call->options.upload->complete);
+  bool resume_send
+      = call->read_paused
+        && (cye_buffer_unread (call->options.upload) > 0
+            || (call->options.upload->complete && !call->options.upload->cut));
   if (!resume_read && !resume_send)
     return;
   if (resume_read)
--- a/src/entry/cye_call.h
+++ b/src/entry/cye_call.h
@@ -39,6 +39,8 @@
   GByteArray *array;
   size_t consumed; /* bytes at the start that were already read */
   bool complete;   /* the last byte of the body was appended */
+  bool cut;        /* bytes of the body were dropped: what is left must not be
+                      passed on as a whole body */
 };
 
 static inline size_t
@@ -101,6 +103,12 @@
   bool complete;     /* the empty line after the headers was received */
 };
 
+#define CYE_ANSWER_LENGTH_UNKNOWN UINT64_MAX
+
+/* Bytes of the body that HEAD announces, CYE_ANSWER_LENGTH_UNKNOWN if it
+   announces none.  */
+uint64_t cye_answer_length (const struct cye_answer_head *head);
+
 struct cye_call *cye_call_create (const struct cye_call_options *options);
 
 /* Frees the call.  A call that has not ended is cancelled and its connection
@@ -119,6 +127,18 @@
 
 bool cye_call_ended (const struct cye_call *call);
 
+/* True when the answer is whole, although parts of the request may not have
+   been sent yet.  False while the answer's end is only marked by the
+   transfer's, as in chunks.  */
+bool cye_call_has_whole_answer (const struct cye_call *call);
+
+/* True while the transfer waits for room in the answer's buffer.  */
+bool cye_call_waits_for_reader (const struct cye_call *call);
+
+/* Ends a call whose answer is whole before the request was sent in full;
+   closes the connection, on which the rest of the request is due.  */
+void cye_call_stop_sending (struct cye_call *call);
+
 /* CY_OK when the whole answer was received, else CY_E_TIMEOUT or
    CY_E_BACKEND_FAILED.  */
 cy_result cye_call_result (const struct cye_call *call);
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -14,6 +14,10 @@
 #define CYE_ATTEMPTS_MAX   4 /* attempts per request in the tree layout */
 #define CYE_ATTEMPT_MIN_MS 2 /* no attempt starts with less time left */
 
+/* Time for which neither a request's body nor its answer has moved, ms, before
+   the rest of the body is given up.  */
+#define CYE_STALLED_MS 500
+
 /* Time for which the grant of a retry is valid, ms; see send_by.  */
 #define CYE_RETRY_GRANT_MS 400
 
@@ -440,6 +444,8 @@
   if (request->stage == CYE_CALLING && head->complete
       && !handle_answer_head (request))
     return;
+  if (request->upload.cut && cye_call_has_whole_answer (call))
+    cye_call_stop_sending (call);
   bool ended = cye_call_ended (call);
   if (ended && request->has_slot)
     {
@@ -469,10 +475,38 @@
   return cye_answer_timeout (&attempt);
 }
 
+/* A backend server that answers before it has read the body and does not read
+   on until its answer is taken would wait for ever: the answer is only passed
+   on after the body.  The rest of the body is dropped then.  */
+static void
+check_stalled (struct cye_request *request, cy_time_ns now)
+{
+  const struct cye_call *call = request->call;
+  bool stalled = request->stage == CYE_READY && !request->body_read
+                 && call != NULL && !cye_call_ended (call)
+                 && cye_call_waits_for_reader (call)
+                 && cye_buffer_unread (&request->upload) >= CYE_BUFFER_BYTES;
+  if (!stalled || request->stalled_at == 0)
+    {
+      request->stalled_at = stalled ? now : 0;
+      return;
+    }
+  if (now - request->stalled_at < CYE_STALLED_MS * CY_NS_PER_MS
+      || request->upload.cut)
+    return;
+  cyu_log (G_LOG_LEVEL_WARNING,
+           "backend server %s of %s answered before it read the body and "
+           "waits for its answer to be taken: the rest of the body is dropped",
+           request->ticket.instance, request->target.service);
+  request->upload.cut = true;
+  cye_worker_schedule (request->worker, request);
+}
+
 void
 cye_forward_check (struct cye_request *request, cy_time_ns now)
 {
   struct cye_call *call = request->call;
+  check_stalled (request, now);
   if (request->stage != CYE_CALLING || call == NULL || cye_call_ended (call)
       || !request->idempotent || !cye_call_sent (call)
       || cye_call_head (call)->complete)
--- a/src/entry/cye_reply.c
+++ b/src/entry/cye_reply.c
@@ -259,10 +259,8 @@
 static uint64_t
 declared_length (const struct cye_answer_head *head)
 {
-  for (guint i = 0; i < head->names->len; i++)
-    if (strcasecmp (g_ptr_array_index (head->names, i), "Content-Length") == 0)
-      return g_ascii_strtoull (g_ptr_array_index (head->values, i), NULL, 10);
-  return MHD_SIZE_UNKNOWN;
+  uint64_t length = cye_answer_length (head);
+  return length == CYE_ANSWER_LENGTH_UNKNOWN ? MHD_SIZE_UNKNOWN : length;
 }
 
 static struct MHD_Response *
--- a/src/entry/cye_request.c
+++ b/src/entry/cye_request.c
@@ -127,6 +127,15 @@
   return request->is_local ? CYE_ANNOUNCE_BYTES_MAX : request->body_max_bytes;
 }
 
+bool
+cye_request_needs_body (const struct cye_request *request)
+{
+  if (request->upload.cut)
+    return false;
+  return request->stage < CYE_READY
+         || (request->call != NULL && !cye_call_ended (request->call));
+}
+
 /* Receives *SIZE bytes of the body; suspends the caller's connection while it
    sends faster than the backend server reads.  */
 static enum MHD_Result
@@ -135,7 +144,9 @@
   request->body_received += *size;
   if (request->body_received > body_limit (request))
     request->too_large = true;
-  else if (request->stage < CYE_READY)
+  if (request->too_large || !cye_request_needs_body (request))
+    request->upload.cut = true;
+  else
     cye_buffer_append (&request->upload, data, *size);
   *size = 0;
   if (request->too_large && request->body_received > 2 * body_limit (request))
@@ -151,7 +162,7 @@
     cye_admit_start (request);
   else if (request->call != NULL)
     cye_call_continue (request->call);
-  if (request->stage < CYE_READY
+  if (cye_request_needs_body (request)
       && cye_buffer_unread (&request->upload) >= CYE_BUFFER_BYTES)
     cye_request_suspend (request);
   return MHD_YES;
@@ -178,7 +189,8 @@
 {
   request->body_read = true;
   request->upload.complete = true;
-  if (request->too_large && request->stage < CYE_READY)
+  bool calling = request->call != NULL && !cye_call_ended (request->call);
+  if (request->too_large && (request->stage < CYE_READY || calling))
     {
       bool sent = request->call != NULL && cye_call_sent (request->call);
       cye_forward_cancel (request);
@@ -239,12 +251,14 @@
     cye_time_split_caller_left (request->shared->split,
                                 request->target.service);
   request->caller_left = true;
+  request->answered = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
   cye_worker_schedule (request->worker, request);
 }
 
-/* Continues a request whose caller has left.  Idempotent work is cancelled.
-   Other work runs to its end, so that its slot stays occupied as long as the
-   backend server works on it.  */
+/* Continues a request whose caller has left.  Idempotent work is cancelled,
+   unless it has been answered and only the end of the body is due.  Other work
+   runs to its end, so that its slot stays occupied as long as the backend
+   server works on it.  */
 static void
 step_without_caller (struct cye_request *request)
 {
@@ -254,7 +268,8 @@
   if (request->call != NULL && !cye_call_ended (request->call))
     {
       bool upload_open = !request->upload.complete;
-      if (request->idempotent || upload_open || !cye_call_sent (request->call))
+      bool is_wanted = request->answered || !request->idempotent;
+      if (!is_wanted || upload_open || !cye_call_sent (request->call))
         cye_forward_cancel (request);
       else
         {
@@ -286,7 +301,8 @@
       return !request->body_read
              && cye_buffer_unread (&request->upload) < CYE_BUFFER_BYTES / 2;
     case CYE_READY:
-      return true;
+      return request->body_read || !cye_request_needs_body (request)
+             || cye_buffer_unread (&request->upload) < CYE_BUFFER_BYTES / 2;
     case CYE_ANSWERING:
       return request->call == NULL || cye_call_ended (request->call)
              || cye_buffer_unread (cye_call_body (request->call)) > 0;
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -43,6 +43,7 @@
   bool body_read;          /* the whole body was received */
   bool suspended;          /* the caller's connection is suspended */
   bool caller_left;        /* the caller closed its connection */
+  bool answered;           /* the caller received the whole answer */
   int pending_callbacks;   /* callbacks due from other threads */
   cy_result posted_result; /* result of the newest callback from another
                               thread */
@@ -64,6 +65,8 @@
   struct cye_buffer upload;
   uint64_t body_received; /* bytes */
   bool too_large;         /* more than body_max_bytes were received */
+  cy_time_ns stalled_at;  /* time since which neither the body nor the answer
+                             has moved, 0: they move */
 
   /* Attempts.  */
   struct cye_ticket ticket; /* backend server of the attempt; in the tree
@@ -116,6 +119,10 @@
 
 cy_time_ns cye_request_now (const struct cye_request *request);
 
+/* True while an attempt may need more bytes of the caller's body.  A backend
+   server may go on reading the body after its answer.  */
+bool cye_request_needs_body (const struct cye_request *request);
+
 /* Suspends the caller's connection until cye_request_resume.  */
 void cye_request_suspend (struct cye_request *request);
 void cye_request_resume (struct cye_request *request);
--- a/tests/path/path_world.h
+++ b/tests/path/path_world.h
@@ -22,6 +22,9 @@
 #define FIXTURE_WITHDRAWN "cyk_k2_0123456789abcdef"
 #define FIXTURE_EXPIRED   "cyk_k3_0123456789abcdef"
 #define FIXTURE_LEASE_MS  10000
+#ifndef FIXTURE_BODY_MAX
+#define FIXTURE_BODY_MAX 200000 /* bytes of a request body */
+#endif
 
 struct fixture
 {
@@ -253,7 +256,7 @@
   service.routes = routes;
   service.n_routes = G_N_ELEMENTS (routes);
   service.timeout_ms = 3000;
-  service.max_body_bytes = 200000;
+  service.max_body_bytes = FIXTURE_BODY_MAX;
   workspace.name = (char *)"w1";
   workspace.rate = 1000;
   workspace.burst = 1000;
