--- a/src/control/cyx_replica.c
+++ b/src/control/cyx_replica.c
@@ -271,6 +271,12 @@
   return cyr_core_commit_index (replica->core);
 }
 
+uint64_t
+cyx_replica_applied (const struct cyx_replica *replica)
+{
+  return cyr_core_applied_index (replica->core);
+}
+
 cy_time_ns
 cyx_replica_confirmation_age (const struct cyx_replica *replica)
 {
--- a/src/control/cyx_replica.h
+++ b/src/control/cyx_replica.h
@@ -103,6 +103,10 @@
 uint64_t cyx_replica_match (const struct cyx_replica *replica, uint64_t id);
 uint64_t cyx_replica_committed (const struct cyx_replica *replica);
 
+/* Index of the last record that the state machine holds: committed and on this
+   disk.  */
+uint64_t cyx_replica_applied (const struct cyx_replica *replica);
+
 /* Age of the leader's confirmation: nanoseconds since the start of the newest
    round of messages that a quorum answered.  -1 when not leader or not
    confirmed yet.  */
--- a/src/core/cyc_serving.h
+++ b/src/core/cyc_serving.h
@@ -1,8 +1,10 @@
 /* Decides whether entry VMs may use the declaration that a control VM holds.
 
    A control VM that has held everything that a leader had committed continues
-   to serve its declaration, isolated or not.  After a restart it holds the
-   declaration of its disk, which may be outdated.  It serves that one while it
+   to serve its declaration, isolated or not, until its peers report changes
+   that do not reach it: its member was removed, or its disk keeps nothing.
+   After a restart it holds the declaration of its disk, which may be outdated.
+     It serves that one while it
    reaches a majority of the control VMs and none of them is a leader, as after
    a loss of power at all VMs.  */
 
@@ -10,6 +12,7 @@
 #define CYC_SERVING_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "core/cy_clock.h"
 
@@ -19,11 +22,19 @@
    lost.  */
 #define CYC_SERVE_FROM_DISK_MS 1500
 
+/* Time for which a change may be committed elsewhere before a control VM that
+   has not applied it stops to serve, ms.  An election takes at most as long;
+   a drained zone has to be empty within 5 s.  */
+#define CYC_LAG_MAX_MS 2000
+
 struct cyc_serving
 {
   bool caught_up; /* has held all that a leader had committed, since the
                      start */
   cy_time_ns disk_allowed_until; /* end of serving from the disk, 0: never */
+  bool lags;              /* has lacked committed changes for CYC_LAG_MAX_MS */
+  uint64_t reported;      /* log index that peers have committed */
+  cy_time_ns reported_at; /* time of the first report of REPORTED */
 };
 
 struct cyc_serving_input
@@ -38,6 +49,15 @@
                          const struct cyc_serving_input *input,
                          cy_time_ns now);
 
+/* Compares the log index that this VM has APPLIED with the highest one that
+   its peers have COMMITTED.  Returns true when the VM stops to serve because
+   it lacks changes; it starts again when it is caught up.  */
+bool cyc_serving_follow (struct cyc_serving *serving, uint64_t applied,
+                         uint64_t committed, cy_time_ns now);
+
+/* The VM holds all that a leader had committed.  */
+void cyc_serving_catch_up (struct cyc_serving *serving);
+
 /* True when entry VMs may use the declaration.  */
 bool cyc_serving_is_allowed (const struct cyc_serving *serving,
                              cy_time_ns now);
--- a/src/hub/cyc_hub.c
+++ b/src/hub/cyc_hub.c
@@ -131,9 +131,26 @@
   return cyc_serving_is_allowed (&hub->serving, cyc_now (hub));
 }
 
+/* Stops serving when changes that peers have committed do not arrive here.  */
+static void
+check_lag (struct cyc_hub *hub)
+{
+  cy_time_ns now = cyc_now (hub);
+  uint64_t applied = cyx_replica_applied (hub->replica);
+  uint64_t committed = cyc_links_committed (hub, now);
+  if (!cyc_serving_follow (&hub->serving, applied, committed, now))
+    return;
+  cyu_event (CYU_CHANGE, "serves_no_longer", "{sI sI sb}", "applied",
+             (json_int_t)applied, "committed", (json_int_t)committed,
+             "removed", cyx_replica_is_removed (hub->replica));
+  hub->all_views_due = true;
+  cyc_hub_schedule_flush (hub);
+}
+
 void
 cyc_hub_update_serving (struct cyc_hub *hub)
 {
+  check_lag (hub);
   const Cy__Document *held = cyc_hub_document (hub);
   struct cyc_serving_input input
       = { .has_declaration = held != NULL,
@@ -172,7 +189,7 @@
   struct cyc_hub *hub = context;
   cy_time_ns now = cyc_now (hub);
   if (cyx_replica_is_ready (hub->replica))
-    hub->serving.caught_up = true;
+    cyc_serving_catch_up (&hub->serving);
   unsigned expired = cyc_register_expire (
       hub->reg, now, CYC_INSTANCE_EXPIRY_MS * CY_NS_PER_MS,
       CYC_ENTRY_EXPIRY_MS * CY_NS_PER_MS);
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -94,7 +94,7 @@
   cy_time_ns admission_tried_at; /* time of the last attempt to make the peer a
                                     member, 0: none */
   bool is_leader;                /* the peer leads the log and is ready */
-  uint64_t committed_count;      /* committed records that the peer reported */
+  uint64_t committed_count;      /* log index that the peer has committed */
   GHashTable *borrowed;          /* servers of the peer's region with slots on
                                     loan here: id to uint64_t incarnation */
   uint32_t attached_entries;     /* entry VMs whose requests the peer places */
@@ -227,6 +227,10 @@
 /* True when this VM or a reachable control VM is the leader and ready.  */
 bool cyc_links_has_leader (const struct cyc_hub *hub);
 
+/* Returns the highest log index that a reachable peer has committed, 0 if none
+   is reachable.  */
+uint64_t cyc_links_committed (const struct cyc_hub *hub, cy_time_ns now);
+
 /* ---- cyc_children.c */
 void cyc_children_open (struct cyc_hub *hub, struct cyn_conn *conn);
 void cyc_children_close (struct cyc_hub *hub, struct cyn_conn *conn);
--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -201,6 +201,19 @@
   return cyx_replica_is_ready (hub->replica);
 }
 
+uint64_t
+cyc_links_committed (const struct cyc_hub *hub, cy_time_ns now)
+{
+  const struct cyc_peer *peer = NULL;
+  uint64_t committed = 0;
+  CK_LIST_FOREACH (peer, &hub->peers, entry)
+  {
+    if (cyc_peer_is_live (peer, now))
+      committed = MAX (committed, peer->committed_count);
+  }
+  return committed;
+}
+
 /* ------------------------------------------------------------ sending */
 
 /* True when a server or an entry VM reported to this process itself, at
@@ -495,10 +508,10 @@
   for (size_t i = 0; i < sync->n_known; i++)
     get_peer (hub, sync->known[i]->host);
   if (sync->leads && !hub->serving.caught_up
-      && cyx_replica_committed (hub->replica) >= sync->committed
+      && cyx_replica_applied (hub->replica) >= sync->committed
       && cyx_replica_leader (hub->replica) == sync->self->member)
     {
-      hub->serving.caught_up = true;
+      cyc_serving_catch_up (&hub->serving);
       cyu_log (G_LOG_LEVEL_INFO, "holds all that leader %s had committed",
                peer->vm == NULL ? sync->self->host : peer->vm);
       cyc_hub_schedule_flush (hub);
--- a/tests/hub/test_serving.c
+++ b/tests/hub/test_serving.c
@@ -61,7 +61,7 @@
 START_TEST (test_scenarios)
 {
   const struct scenario *scenario = &scenarios[_i];
-  struct cyc_serving serving = { false, 0 };
+  struct cyc_serving serving = { 0 };
   for (size_t i = 0; i < G_N_ELEMENTS (scenario->checks); i++)
     {
       const struct check *check = &scenario->checks[i];
@@ -80,12 +80,101 @@
 }
 END_TEST
 
+struct lag_check
+{
+  int at_ms;
+  uint64_t applied;
+  uint64_t committed; /* highest index that a peer reported */
+  bool catches_up;    /* before the check, the VM holds all of the leader */
+  bool stops;         /* expected: this check stops serving */
+  bool serves;        /* expected after the check */
+};
+
+struct lag_scenario
+{
+  const char *name;
+  bool caught_up; /* at the start */
+  struct lag_check checks[8];
+};
+
+/* Guards against a control VM that is reachable but gets no more records, as
+   its member was removed or its disk keeps nothing: it placed requests with
+   the drained zones of before.  */
+static const struct lag_scenario lag_scenarios[] = {
+  { "follows the log: serves",
+    true,
+    { { 0, 5, 5, false, false, true },
+      { 250, 5, 6, false, false, true },
+      { 500, 6, 6, false, false, true },
+      { 9000, 6, 6, false, false, true } } },
+  { "gets no more records: stops, and stays so",
+    true,
+    { { 0, 5, 5, false, false, true },
+      { 1000, 5, 6, false, false, true },
+      { 1000 + CYC_LAG_MAX_MS - 1, 5, 6, false, false, true },
+      { 1000 + CYC_LAG_MAX_MS, 5, 7, false, true, false },
+      { 60000, 5, 9, false, false, false } } },
+  { "is always behind a busy log, but follows",
+    true,
+    { { 0, 5, 8, false, false, true },
+      { 1500, 8, 12, false, false, true },
+      { 3000, 12, 16, false, false, true },
+      { 4500, 16, 20, false, false, true } } },
+  { "follows too slowly",
+    true,
+    { { 0, 5, 8, false, false, true },
+      { 1500, 7, 12, false, false, true },
+      { CYC_LAG_MAX_MS, 7, 16, false, true, false } } },
+  { "stopped, then caught up: serves again",
+    true,
+    { { 0, 5, 6, false, false, true },
+      { CYC_LAG_MAX_MS, 5, 6, false, true, false },
+      { 4000, 6, 6, true, false, true },
+      { 9000, 6, 6, false, false, true } } },
+  { "no peer is reachable: serves on",
+    true,
+    { { 0, 5, 5, false, false, true }, { 9000, 5, 0, false, false, true } } },
+  { "after a restart: waits for the leader, not for time",
+    false,
+    { { 0, 3, 6, false, false, false },
+      { 9000, 3, 6, false, false, false },
+      { 9250, 6, 6, true, false, true } } },
+};
+
+START_TEST (test_lag)
+{
+  const struct lag_scenario *scenario = &lag_scenarios[_i];
+  struct cyc_serving serving = { .caught_up = scenario->caught_up };
+  struct cyc_serving_input no_leader = { .has_declaration = true };
+  for (size_t i = 0; i < G_N_ELEMENTS (scenario->checks); i++)
+    {
+      const struct lag_check *check = &scenario->checks[i];
+      cy_time_ns now = START_TIME + check->at_ms * CY_NS_PER_MS;
+      if (i > 0 && check->at_ms == 0)
+        break;
+      if (check->catches_up)
+        cyc_serving_catch_up (&serving);
+      bool stops = cyc_serving_follow (&serving, check->applied,
+                                       check->committed, now);
+      ck_assert_msg (stops == check->stops, "%s: at %d ms stops %d",
+                     scenario->name, check->at_ms, stops);
+      ck_assert_msg (cyc_serving_is_allowed (&serving, now) == check->serves,
+                     "%s: at %d ms", scenario->name, check->at_ms);
+      /* What a VM lacks is not on its disk either.  */
+      if (serving.lags)
+        ck_assert_msg (!cyc_serving_update (&serving, &no_leader, now),
+                       "%s: serves from the disk", scenario->name);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("standing");
   TCase *tcase = tcase_create ("standing");
   tcase_add_loop_test (tcase, test_scenarios, 0, G_N_ELEMENTS (scenarios));
+  tcase_add_loop_test (tcase, test_lag, 0, G_N_ELEMENTS (lag_scenarios));
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
