--- a/src/core/cyi_document.h
+++ b/src/core/cyi_document.h
@@ -19,6 +19,12 @@
 #define CYI_RANK_LAST 1000 /* least urgent rank, the default; 0 is first */
 #define CYI_KEY_MAX   256  /* bytes of a key's text */
 
+/* Largest values of a declaration, for every dialect that it may be written
+   in: what one of them accepts must be readable after it was printed.  */
+#define CYI_TIME_MAX_MS 1000000000 /* ms, 11 days */
+#define CYI_COUNT_MAX   INT32_MAX  /* counts, rates, sizes of headers */
+#define CYI_BYTES_MAX   INT64_MAX  /* size of a body */
+
 /* A service that serves a route, with its share of the route's requests.  */
 struct cyi_backend
 {
@@ -118,7 +124,9 @@
                              struct cyi_document **document,
                              struct cyj_error *error);
 
-/* Returns DOCUMENT as JSON that cyi_document_read accepts; freed by free.  */
+/* Returns DOCUMENT as JSON that cyi_document_read accepts; freed by free.  The
+   second and further ones of several routes of one name get a number after
+   it.  */
 char *cyi_document_print (const struct cyi_document *document);
 
 /* Returns the route of HOST (with or without a port) that has the longest
--- a/src/core/cyi_text.c
+++ b/src/core/cyi_text.c
@@ -5,9 +5,6 @@
 
 #include "core/cyi_document.h"
 
-#define MS_MAX    86400000.0 /* ms, one day */
-#define COUNT_MAX 1e9        /* largest count, rate or size of a header */
-
 /* The object being read, and the error that a failure fills.  */
 struct reader
 {
@@ -65,6 +62,24 @@
   return result;
 }
 
+/* Reads a whole number of bytes, exactly beyond the precision of a double.  */
+static cy_result
+read_bytes (struct reader *reader, const json_t *source, const char *field,
+            uint64_t *bytes)
+{
+  const json_t *value = json_object_get (source, field);
+  double number = 0;
+  if (json_is_integer (value) && json_integer_value (value) >= 0)
+    {
+      *bytes = (uint64_t)json_integer_value (value);
+      return CY_OK;
+    }
+  cy_result result
+      = read_number (reader, source, field, (double)(1LL << 53), &number);
+  *bytes = (uint64_t)number;
+  return result;
+}
+
 static cy_result
 read_flag (struct reader *reader, const json_t *source, const char *field,
            bool *flag)
@@ -142,14 +157,16 @@
   if (result == CY_OK)
     result = read_flag (reader, source, "sticky", &route->sticky);
   if (result == CY_OK)
-    result = read_count (reader, source, "timeout_ms", MS_MAX,
+    result = read_count (reader, source, "timeout_ms", CYI_TIME_MAX_MS,
                          &route->timeout_ms);
   if (result == CY_OK)
-    result = read_count (reader, source, "goal_ms", MS_MAX, &route->goal_ms);
+    result = read_count (reader, source, "goal_ms", CYI_TIME_MAX_MS,
+                         &route->goal_ms);
   if (result == CY_OK)
     result = read_count (reader, source, "rank", CYI_RANK_LAST, &route->rank);
   if (result == CY_OK)
-    result = read_count (reader, source, "attempts", 100, &route->attempts);
+    result = read_count (reader, source, "attempts", CYI_COUNT_MAX,
+                         &route->attempts);
   if (result == CY_OK)
     result = read_strings (reader, source, "homes", &route->home_regions);
   if (result == CY_OK)
@@ -168,12 +185,13 @@
                          : read_string (reader, source, "health_path",
                                         &service->health_path);
   if (result == CY_OK)
-    result = read_count (reader, source, "connections", COUNT_MAX,
+    result = read_count (reader, source, "connections", CYI_COUNT_MAX,
                          &service->connections);
   if (result == CY_OK)
-    result = read_count (reader, source, "cold_ms", MS_MAX, &service->cold_ms);
+    result = read_count (reader, source, "cold_ms", CYI_TIME_MAX_MS,
+                         &service->cold_ms);
   if (result == CY_OK)
-    result = read_number (reader, source, "cold_per_s", COUNT_MAX,
+    result = read_number (reader, source, "cold_per_s", CYI_COUNT_MAX,
                           &service->cold_per_s);
   return result;
 }
@@ -191,10 +209,11 @@
     result
         = read_count (reader, source, "rank", CYI_RANK_LAST, &workspace->rank);
   if (result == CY_OK)
-    result = read_number (reader, source, "rate", COUNT_MAX, &workspace->rate);
+    result = read_number (reader, source, "rate", CYI_COUNT_MAX,
+                          &workspace->rate);
   if (result == CY_OK)
-    result
-        = read_number (reader, source, "burst", COUNT_MAX, &workspace->burst);
+    result = read_number (reader, source, "burst", CYI_COUNT_MAX,
+                          &workspace->burst);
   if (result == CY_OK)
     result = read_strings (reader, source, "homes", &workspace->home_regions);
   return result;
@@ -204,19 +223,18 @@
 read_limits (struct reader *reader, const json_t *source,
              struct cyi_limits *limits)
 {
-  double bytes = 0;
   reader->section = "limits";
   reader->name = "fleet";
-  cy_result result = read_count (reader, source, "header_bytes", COUNT_MAX,
+  cy_result result = read_count (reader, source, "header_bytes", CYI_COUNT_MAX,
                                  &limits->header_bytes);
   if (result == CY_OK)
-    result = read_number (reader, source, "body_bytes", 1e15, &bytes);
-  limits->body_bytes = (uint64_t)bytes;
+    result = read_bytes (reader, source, "body_bytes", &limits->body_bytes);
   if (result == CY_OK)
-    result
-        = read_count (reader, source, "header_ms", MS_MAX, &limits->header_ms);
+    result = read_count (reader, source, "header_ms", CYI_TIME_MAX_MS,
+                         &limits->header_ms);
   if (result == CY_OK)
-    result = read_count (reader, source, "idle_ms", MS_MAX, &limits->idle_ms);
+    result = read_count (reader, source, "idle_ms", CYI_TIME_MAX_MS,
+                         &limits->idle_ms);
   return result;
 }
 
@@ -358,6 +376,22 @@
   return json;
 }
 
+/* Adds ROUTE, the one at POSITION in its document, under a name that no other
+   route in ROUTES has.  */
+static void
+add_route (json_t *routes, guint position, const struct cyi_route *route)
+{
+  char *name = g_strdup (route->name);
+  while (json_object_get (routes, name) != NULL)
+    {
+      char *longer = g_strdup_printf ("%s#%u", name, position);
+      g_free (name);
+      name = longer;
+    }
+  json_object_set_new (routes, name, route_to_json (route));
+  g_free (name);
+}
+
 char *
 cyi_document_print (const struct cyi_document *document)
 {
@@ -373,7 +407,7 @@
   for (guint i = 0; i < document->routes->len; i++)
     {
       const struct cyi_route *route = g_ptr_array_index (document->routes, i);
-      json_object_set_new (routes, route->name, route_to_json (route));
+      add_route (routes, i, route);
     }
   for (guint i = 0; i < document->workspaces->len; i++)
     {
@@ -389,7 +423,8 @@
       "limits", "header_bytes", (int)limits->header_bytes, "body_bytes",
       (json_int_t)limits->body_bytes, "header_ms", (int)limits->header_ms,
       "idle_ms", (int)limits->idle_ms);
-  char *text = json_dumps (root, JSON_COMPACT | JSON_REAL_PRECISION (15));
+  /* All digits of a double: a rounded one can be out of range.  */
+  char *text = json_dumps (root, JSON_COMPACT | JSON_REAL_PRECISION (17));
   json_decref (root);
   return text;
 }
--- a/src/hub/cyc_hub.c
+++ b/src/hub/cyc_hub.c
@@ -306,6 +306,8 @@
     g_ptr_array_unref (hub->versions);
   cyc_register_destroy (hub->reg);
   cyi_document_destroy (hub->document);
+  cyi_document_destroy (hub->proposed);
+  free (hub->proposed_text);
   g_ptr_array_unref (hub->drained);
   g_hash_table_destroy (hub->undrained_at);
   cys_state_destroy (hub->state);
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -149,6 +149,10 @@
   GPtrArray *drained;       /* names of the drained zones, char * */
   GHashTable *undrained_at; /* zone to cy_time_ns of the end of its drain */
   struct cyi_document *document;
+  /* Newest declaration that was proposed here, as it is read from its text, so
+     that it is not read again once it is committed; or NULL.  */
+  struct cyi_document *proposed;
+  char *proposed_text;
   struct cyc_serving serving;
 
   struct cyn_listener *listener;
--- a/src/hub/cyc_log.c
+++ b/src/hub/cyc_log.c
@@ -52,6 +52,15 @@
   g_ptr_array_unref (before);
 }
 
+/* Ends the ownership of the proposed declaration.  */
+static void
+forget_proposed (struct cyc_hub *hub)
+{
+  free (hub->proposed_text);
+  hub->proposed_text = NULL;
+  hub->proposed = NULL;
+}
+
 static void
 update_document (struct cyc_hub *hub)
 {
@@ -61,8 +70,15 @@
   if (held == NULL
       || (hub->document != NULL && hub->document->number == held->number))
     return;
-  cy_result result
-      = cyi_document_read (held->text, strlen (held->text), &updated, &error);
+  cy_result result = CY_OK;
+  if (g_strcmp0 (hub->proposed_text, held->text) == 0)
+    {
+      updated = hub->proposed;
+      forget_proposed (hub);
+    }
+  else
+    result = cyi_document_read (held->text, strlen (held->text), &updated,
+                                &error);
   if (result != CY_OK)
     {
       cyu_log (G_LOG_LEVEL_CRITICAL,
@@ -378,6 +394,27 @@
   g_free (bytes);
 }
 
+/* Reads TEXT, the declaration as it goes into the log, back.  One that could
+   not be read would be acknowledged and never be in force.  */
+static cy_result
+check_proposed (struct cyc_hub *hub, const char *text)
+{
+  struct cyj_error error = { "", "" };
+  if (g_strcmp0 (hub->proposed_text, text) == 0)
+    return CY_OK;
+  cyi_document_destroy (hub->proposed);
+  forget_proposed (hub);
+  cy_result result
+      = cyi_document_read (text, strlen (text), &hub->proposed, &error);
+  if (result == CY_OK)
+    hub->proposed_text = strdup (text);
+  else
+    cyu_log (G_LOG_LEVEL_CRITICAL,
+             "declaration refused, as it could not be read back: %s %s",
+             error.path, error.detail);
+  return result;
+}
+
 void
 cyc_hub_declare (struct cyc_hub *hub, const struct cyi_document *document,
                  const void *source, size_t length, uint64_t digest,
@@ -388,6 +425,13 @@
   Cy__Object *objects[] = { &object };
   Cy__Document body = CY__DOCUMENT__INIT;
   char *text = cyi_document_print (document);
+  cy_result result = check_proposed (hub, text);
+  if (result != CY_OK)
+    {
+      free (text);
+      done (result, context);
+      return;
+    }
   body.number = document->number;
   body.text = text;
   body.source.data = (uint8_t *)source;
--- a/tests/platform/test_calls.c
+++ b/tests/platform/test_calls.c
@@ -117,6 +117,111 @@
 }
 END_TEST
 
+#define ROUTE_ROW(name, prefix, timeout, attempts, weight)                    \
+  "[\"" name "\",\"a.example\",\"" prefix "\",\"idempotent\",\"" timeout      \
+  "\",\"" timeout "\",2,[{\"service\":\"s\",\"weight\":" weight               \
+  "}]," attempts ",false,true,[],null]"
+#define CONFIG(routes, service, limits, tenant)                               \
+  "{\"version\":\"r7\",\"routes\":{\"columns\":[\"name\",\"host\","           \
+  "\"prefix\",\"kind\",\"timeout\",\"latencyGoal\",\"priority\","             \
+  "\"backends\",\"maxAttempts\",\"public\",\"sticky\",\"homeRegions\","       \
+  "\"service\"],\"rows\":[" routes "]},\"services\":{\"columns\":["           \
+  "\"name\",\"maxConns\",\"warmup\",\"warmupPerS\"],\"rows\":[" service       \
+  "]},\"limits\":{" limits "},\"tenants\":{\"columns\":[\"name\","            \
+  "\"keys\",\"priority\",\"ratePerS\",\"burst\"],\"rows\":[" tenant "]}}"
+#define ROUTE_1   ROUTE_ROW ("r", "/x/", "800ms", "2", "1")
+#define SERVICE_1 "[\"s\",813,\"3s\",10.0]"
+#define LIMITS(header, body, time)                                            \
+  "\"maxHeaderBytes\":" header ",\"maxBodyBytes\":" body                      \
+  ",\"headerTimeout\":\"" time "\",\"idleTimeout\":\"" time "\""
+#define LIMITS_1 LIMITS ("16384", "67108864", "3000ms")
+#define TENANT_1 "[\"w\",[\"k1\"],1,252,252]"
+
+/* Configurations at the ends of the ranges that the platform's reader
+   accepts.  */
+static const struct
+{
+  const char *name;
+  const char *text;
+  unsigned routes;
+  uint64_t body_bytes;
+} extremes[] = {
+  { "plain", CONFIG (ROUTE_1, SERVICE_1, LIMITS_1, TENANT_1), 1, 67108864 },
+  { "the largest body",
+    CONFIG (ROUTE_1, SERVICE_1,
+            LIMITS ("16384", "9223372036854775807", "3000ms"), TENANT_1),
+    1, INT64_MAX },
+  { "a body beyond the precision of a double",
+    CONFIG (ROUTE_1, SERVICE_1, LIMITS ("16384", "9007199254740993", "3s"),
+            TENANT_1),
+    1, 9007199254740993 },
+  { "no body", CONFIG (ROUTE_1, SERVICE_1, LIMITS ("1", "0", "0ms"), TENANT_1),
+    1, 0 },
+  { "the largest header",
+    CONFIG (ROUTE_1, SERVICE_1, LIMITS ("2147483647", "1", "3s"), TENANT_1), 1,
+    1 },
+  { "the longest limits",
+    CONFIG (ROUTE_1, SERVICE_1, LIMITS ("16384", "1", "1000000s"), TENANT_1),
+    1, 1 },
+  { "the longest times of a route",
+    CONFIG (ROUTE_ROW ("r", "/x/", "1000000s", "2", "1"), SERVICE_1, LIMITS_1,
+            TENANT_1),
+    1, 67108864 },
+  { "the most attempts",
+    CONFIG (ROUTE_ROW ("r", "/x/", "9ms", "2147483647", "1"), SERVICE_1,
+            LIMITS_1, TENANT_1),
+    1, 67108864 },
+  { "the largest weight",
+    CONFIG (ROUTE_ROW ("r", "/x/", "9ms", "1", "1.7976931348623157e308"),
+            SERVICE_1, LIMITS_1, TENANT_1),
+    1, 67108864 },
+  { "the largest service",
+    CONFIG (ROUTE_1, "[\"s\",2147483647,\"1000000s\",2147483647]", LIMITS_1,
+            TENANT_1),
+    1, 67108864 },
+  { "the largest tenant",
+    CONFIG (ROUTE_1, SERVICE_1, LIMITS_1,
+            "[\"w\",[\"k1\"],2147483647,2147483647,2147483647]"),
+    1, 67108864 },
+  { "two routes of one name",
+    CONFIG (ROUTE_1 "," ROUTE_ROW ("r", "/y/", "9ms", "1", "1") "," ROUTE_ROW (
+                "r", "/z/", "9ms", "1", "1"),
+            SERVICE_1, LIMITS_1, TENANT_1),
+    3, 67108864 },
+  { "a route without a name",
+    CONFIG (ROUTE_ROW ("", "/x/", "9ms", "1", "1"), SERVICE_1, LIMITS_1,
+            TENANT_1),
+    1, 67108864 },
+};
+
+/* Guards against a configuration that is acknowledged and never in force: what
+   is accepted must be read back from the text that the log keeps.  */
+START_TEST (test_reads_back)
+{
+  struct cyc_call call;
+  struct cyj_error error = { "", "" };
+  struct cyi_document *held = NULL;
+  const char *name = extremes[_i].name;
+  ck_assert_msg (read_call (PUT, extremes[_i].text, &call, &error) == CY_OK,
+                 "%s: refused, %s %s", name, error.path, error.detail);
+  char *text = cyi_document_print (call.declare.document);
+  cy_result result = cyi_document_read (text, strlen (text), &held, &error);
+  ck_assert_msg (result == CY_OK, "%s: not read back, %s %s", name, error.path,
+                 error.detail);
+  ck_assert_msg (held->routes->len == extremes[_i].routes, "%s: %u routes",
+                 name, held->routes->len);
+  ck_assert_msg (held->limits.body_bytes == extremes[_i].body_bytes,
+                 "%s: body of %lu bytes", name, held->limits.body_bytes);
+  char *again = cyi_document_print (held);
+  ck_assert_msg (strcmp (text, again) == 0, "%s: %s became %s", name, text,
+                 again);
+  free (text);
+  free (again);
+  cyi_document_destroy (held);
+  cyc_call_clear (&call);
+}
+END_TEST
+
 static const struct
 {
   const char *method;
@@ -314,6 +419,7 @@
   tcase_add_test (all, test_heartbeat);
   tcase_add_test (all, test_leave);
   tcase_add_test (all, test_config);
+  tcase_add_loop_test (all, test_reads_back, 0, G_N_ELEMENTS (extremes));
   tcase_add_loop_test (all, test_simple_calls, 0, G_N_ELEMENTS (simple_calls));
   tcase_add_test (all, test_answers);
   tcase_add_loop_test (all, test_refused, 0, G_N_ELEMENTS (refused));
