--- a/src/store/cyd_file.c
+++ b/src/store/cyd_file.c
@@ -81,22 +81,33 @@
   return CY_OK;
 }
 
-cy_result
-cyd_write_when_space (const struct cyd_files *files, int fd, const void *bytes,
-                      size_t length, int64_t offset)
+bool
+cyd_wait_for_space (const struct cyd_files *files, cy_result result,
+                    int *attempts)
 {
-  cy_result result = cyd_write_all (files, fd, bytes, length, offset);
   if (result != CY_E_STORE_FULL)
-    return result;
-  cyu_log (G_LOG_LEVEL_WARNING,
-           "disk is full: waiting for space to write %zu bytes", length);
-  for (int i = 0; i < CYD_FULL_DISK_RETRIES && result == CY_E_STORE_FULL; i++)
     {
-      files->pause (files->context);
-      result = cyd_write_all (files, fd, bytes, length, offset);
+      if (*attempts > 0 && result == CY_OK)
+        cyu_log (G_LOG_LEVEL_INFO, "disk has free space again");
+      return false;
     }
-  if (result == CY_OK)
-    cyu_log (G_LOG_LEVEL_INFO, "disk has free space again");
+  if (*attempts == 0)
+    cyu_log (G_LOG_LEVEL_WARNING, "disk is full: waiting for space");
+  if ((*attempts)++ >= CYD_FULL_DISK_RETRIES)
+    return false;
+  files->pause (files->context);
+  return true;
+}
+
+cy_result
+cyd_write_when_space (const struct cyd_files *files, int fd, const void *bytes,
+                      size_t length, int64_t offset)
+{
+  cy_result result;
+  int attempts = 0;
+  do
+    result = cyd_write_all (files, fd, bytes, length, offset);
+  while (cyd_wait_for_space (files, result, &attempts));
   return result;
 }
 
--- a/src/store/cyd_file.h
+++ b/src/store/cyd_file.h
@@ -23,6 +23,13 @@
 cy_result cyd_write_all (const struct cyd_files *files, int fd,
                          const void *bytes, size_t length, int64_t offset);
 
+/* Decides whether a write that can't be rejected any more is repeated: true
+   after RESULT was CY_E_STORE_FULL, for CYD_FULL_DISK_RETRIES times, then
+   false.  Waits before it returns true.  *ATTEMPTS is 0 before the first
+   call.  */
+bool cyd_wait_for_space (const struct cyd_files *files, cy_result result,
+                         int *attempts);
+
 /* Writes like cyd_write_all but waits while the disk is full, for data that
    can't be rejected any more.  CY_E_STORE_FULL when the disk is still full
    after CYD_FULL_DISK_RETRIES attempts.  Blocks.  */
--- a/src/store/cyd_log.c
+++ b/src/store/cyd_log.c
@@ -92,13 +92,20 @@
   return result;
 }
 
-/* Opens the spare file, or allocates one.  */
+/* Opens the spare file, or allocates one, when the disk has space.  */
 static cy_result
 open_spare (struct cyd_log *log, const char *path, int *fd)
 {
   const struct cyd_files *files = log->options.files;
   if (!log->has_spare)
-    return cyd_segment_allocate (files, path, segment_bytes (log), fd);
+    {
+      cy_result result;
+      int attempts = 0;
+      do
+        result = cyd_segment_allocate (files, path, segment_bytes (log), fd);
+      while (cyd_wait_for_space (files, result, &attempts));
+      return result;
+    }
   log->has_spare = false;
   *fd = files->open (files->context, path, O_RDWR);
   return *fd < 0 ? CY_E_IO : CY_OK;
--- a/src/store/cyd_segment.c
+++ b/src/store/cyd_segment.c
@@ -54,7 +54,7 @@
   cyd_put_u64 (header + 8, folder);
   cyd_put_u64 (header + 16, first);
   cyd_put_u64 (header + 24, XXH64 (header, 24, SEGMENT_MAGIC));
-  return cyd_write_all (files, fd, header, sizeof header, 0);
+  return cyd_write_when_space (files, fd, header, sizeof header, 0);
 }
 
 static cy_result
--- a/src/store/cyd_store.c
+++ b/src/store/cyd_store.c
@@ -276,8 +276,12 @@
 {
   GByteArray *content = g_byte_array_new ();
   g_byte_array_append (content, bytes, (guint)length);
-  cy_result result
-      = cyd_file_replace (store->files, store->path, FOUNDING_NAME, content);
+  cy_result result;
+  int attempts = 0;
+  do
+    result
+        = cyd_file_replace (store->files, store->path, FOUNDING_NAME, content);
+  while (cyd_wait_for_space (store->files, result, &attempts));
   g_byte_array_unref (content);
   return result;
 }
@@ -286,7 +290,11 @@
 cyd_store_save_snapshot (struct cyd_store *store,
                          const struct cyr_snapshot *snapshot, bool install)
 {
-  cy_result result = cyd_snapshot_save (store->files, store->path, snapshot);
+  cy_result result;
+  int attempts = 0;
+  do
+    result = cyd_snapshot_save (store->files, store->path, snapshot);
+  while (install && cyd_wait_for_space (store->files, result, &attempts));
   if (result == CY_OK && install)
     result = cyd_log_reset (store->log, snapshot->index);
   return result;
--- a/src/store/cyd_store.h
+++ b/src/store/cyd_store.h
@@ -87,7 +87,7 @@
 
 /* Saves a snapshot, durable.  After CY_E_STORE_FULL the old snapshot is still
    in place.  With INSTALL, the log is removed and restarts after the
-   snapshot.  */
+   snapshot; waits for space.  */
 cy_result cyd_store_save_snapshot (struct cyd_store *store,
                                    const struct cyr_snapshot *snapshot,
                                    bool install);
--- a/tests/replica/test_replica.c
+++ b/tests/replica/test_replica.c
@@ -2,6 +2,7 @@
    disk and its replacement.  */
 
 #include <errno.h>
+#include <fcntl.h>
 #include <signal.h>
 
 #include "core/cyr_core.h"
@@ -10,7 +11,7 @@
 
 #define MEMBERS 3
 
-static struct member members[MEMBERS + 1];
+static struct member members[MEMBERS + 2];
 static Cy__MemberSet bootstrap;
 static char *base_folder;
 
@@ -312,6 +313,129 @@
 }
 END_TEST
 
+#define FULL_MEMBERS 5
+#define FULL_MS      1500        /* for which one disk is full */
+#define FULL_VALUE   (300 << 10) /* bytes of a proposal */
+#define RECOVERY_MS  3000        /* after the last disk has space again */
+
+/* Disk that refuses every write while it is full.  */
+struct full_disk
+{
+  struct cyd_files files;
+  atomic_bool full;
+};
+
+static struct full_disk full_disks[FULL_MEMBERS];
+
+static bool
+refuses_write (void *context)
+{
+  struct full_disk *disk = context;
+  if (!atomic_load (&disk->full))
+    return false;
+  errno = ENOSPC;
+  return true;
+}
+
+static int
+full_open (void *context, const char *path, int flags)
+{
+  if ((flags & O_CREAT) != 0 && refuses_write (context))
+    return -1;
+  return cyd_system_files ()->open (context, path, flags);
+}
+
+static ssize_t
+full_write (void *context, int fd, const void *bytes, size_t length,
+            int64_t offset)
+{
+  if (refuses_write (context))
+    return -1;
+  return cyd_system_files ()->write (context, fd, bytes, length, offset);
+}
+
+static int
+full_allocate (void *context, int fd, int64_t length)
+{
+  if (refuses_write (context))
+    return -1;
+  return cyd_system_files ()->allocate (context, fd, length);
+}
+
+static void
+full_disk_init (struct full_disk *disk)
+{
+  disk->files = *cyd_system_files ();
+  disk->files.open = full_open;
+  disk->files.write = full_write;
+  disk->files.allocate = full_allocate;
+  disk->files.context = disk;
+  atomic_store (&disk->full, false);
+}
+
+/* Proposes values of FULL_VALUE bytes until UNTIL, monotonic time in us;
+   returns the number of the last one, of which LAST were proposed before.
+   Sets *ACCEPTED to the count of those that were accepted.  */
+static uint64_t
+propose_until (gint64 until, uint64_t last, uint64_t *accepted)
+{
+  *accepted = 0;
+  while (g_get_monotonic_time () < until)
+    {
+      struct member *leader = members_leader (members, FULL_MEMBERS);
+      ck_assert_ptr_nonnull (leader);
+      bool done = member_propose_long (leader, ++last, FULL_VALUE) == CY_OK;
+      *accepted += done;
+      if (!done)
+        g_usleep (20000);
+    }
+  return last;
+}
+
+/* Guards against a cluster that accepts no more changes after the disks of its
+   members were full, one after another, though all have space again.  In the
+   meantime new log files are due on each member.  */
+START_TEST (test_full_in_turn)
+{
+  uint64_t last = 0;
+  uint64_t accepted = 0;
+  base_folder = members_folder ();
+  for (size_t i = 0; i < FULL_MEMBERS; i++)
+    member_init (&members[i], i + 1, base_folder);
+  members_bootstrap (members, FULL_MEMBERS, &bootstrap);
+  for (size_t i = 0; i < FULL_MEMBERS; i++)
+    {
+      full_disk_init (&full_disks[i]);
+      members[i].bootstrap = &bootstrap;
+      members[i].files = &full_disks[i].files;
+      member_start (&members[i]);
+    }
+  last = propose_until (g_get_monotonic_time () + FULL_MS * 1000, last,
+                        &accepted);
+  for (size_t i = 0; i < FULL_MEMBERS; i++)
+    {
+      atomic_store (&full_disks[i].full, true);
+      last = propose_until (g_get_monotonic_time () + FULL_MS * 1000, last,
+                            &accepted);
+      atomic_store (&full_disks[i].full, false);
+    }
+  last = propose_until (g_get_monotonic_time () + RECOVERY_MS * 1000, last,
+                        &accepted);
+  last = propose_until (g_get_monotonic_time () + RECOVERY_MS * 1000, last,
+                        &accepted);
+  ck_assert_msg (accepted >= 10, "accepted %lu changes in %d ms", accepted,
+                 RECOVERY_MS);
+  struct member *leader = members_leader (members, FULL_MEMBERS);
+  ck_assert_ptr_nonnull (leader);
+  guint applied = leader->applied->len;
+  for (size_t i = 0; i < FULL_MEMBERS; i++)
+    ck_assert_msg (member_wait_for (&members[i], member_has_applied, applied),
+                   "member %zu has applied %u of %u changes", i + 1,
+                   members[i].applied->len, applied);
+  stop_all (FULL_MEMBERS);
+}
+END_TEST
+
 START_TEST (test_broken_disk)
 {
   struct cyd_files files = create_faulty_files ();
@@ -341,6 +465,7 @@
   tcase_add_test (tcase, test_snapshot);
   tcase_add_test (tcase, test_transfer);
   tcase_add_test (tcase, test_full_disk);
+  tcase_add_test (tcase, test_full_in_turn);
   tcase_add_test (tcase, test_slow_disk);
   tcase_add_test_raise_signal (tcase, test_broken_disk, SIGABRT);
   suite_add_tcase (suite, tcase);
--- a/tests/store/fake_files.h
+++ b/tests/store/fake_files.h
@@ -34,7 +34,8 @@
   int64_t space_bytes;     /* bytes that all files together may have */
   int64_t operations_left; /* operations until the power failure */
   size_t write_max_bytes;  /* most bytes of one write */
-  int full_pauses; /* pauses until writes succeed again, below 0: never */
+  int full_pauses;   /* pauses until writes succeed again, below 0: never */
+  bool full_creates; /* files can't be created or allocated until then */
   bool fail_sync;
 };
 
@@ -113,6 +114,11 @@
       errno = ENOENT;
       return -1;
     }
+  if (file == NULL && disk->full_creates)
+    {
+      errno = ENOSPC;
+      return -1;
+    }
   if (file == NULL)
     {
       file = g_new0 (struct fake_file, 1);
@@ -210,6 +216,11 @@
 fake_allocate (void *context, int fd, int64_t length)
 {
   struct fake_disk *disk = context;
+  if (disk->full_creates)
+    {
+      errno = ENOSPC;
+      return -1;
+    }
   if (!fake_count_operation (disk))
     return -1;
   return fake_grow (disk, disk->fds[fd], length) ? 0 : -1;
@@ -302,6 +313,7 @@
   struct fake_disk *disk = context;
   if (disk->full_pauses > 0)
     disk->full_pauses--;
+  disk->full_creates = disk->full_creates && disk->full_pauses != 0;
 }
 
 static inline void
--- a/tests/store/test_store.c
+++ b/tests/store/test_store.c
@@ -597,6 +597,56 @@
 }
 END_TEST
 
+/* Operations that can't be rejected any more, on a disk that accepts no bytes
+   and no files for a time.  Guards against a process that ends because its
+   disk is full just when a new log file is due.  */
+enum full_operation
+{
+  FULL_APPEND,
+  FULL_APPEND_WITHOUT_SPARE, /* the next log file could not be preallocated */
+  FULL_INSTALL,
+  FULL_FOUNDING
+};
+
+static const enum full_operation full_operations[]
+    = { FULL_APPEND, FULL_APPEND_WITHOUT_SPARE, FULL_INSTALL, FULL_FOUNDING };
+
+START_TEST (test_full_at_any_record)
+{
+  enum full_operation operation = full_operations[_i % 4];
+  uint64_t last = (uint64_t)_i / 4 + 1;
+  cy_result result = CY_OK;
+  ck_assert_int_eq (open_store (), CY_OK);
+  disk.full_creates = operation == FULL_APPEND_WITHOUT_SPARE;
+  ck_assert_int_eq (append_records (1, last - 1, 1), CY_OK);
+  disk.full_creates = true;
+  disk.full_pauses = 5;
+  switch (operation)
+    {
+    case FULL_APPEND:
+    case FULL_APPEND_WITHOUT_SPARE:
+      result = append_records (last, last, 1);
+      break;
+    case FULL_INSTALL:
+      result = save_snapshot (last + 100, 2, true);
+      break;
+    case FULL_FOUNDING:
+      result = cyd_store_set_founding (store, (const uint8_t *)"set", 3);
+      break;
+    }
+  ck_assert_msg (result == CY_OK, "operation %d at record %d: %s", operation,
+                 (int)last, cy_result_text (result));
+  ck_assert_int_eq (cyd_store_sync (store), CY_OK);
+  close_store ();
+  ck_assert_int_eq (open_store (), CY_OK);
+  if (operation == FULL_INSTALL)
+    ck_assert_uint_eq (recovered_last_index (), last + 100);
+  else
+    expect_records (operation == FULL_FOUNDING ? last - 1 : last);
+  close_store ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -609,6 +659,7 @@
   tcase_add_loop_test (tcase, test_committed_power_cut, 0, CUT_SEEDS);
   tcase_add_loop_test (tcase, test_power_cut, 0, CUT_SEEDS);
   tcase_add_loop_test (tcase, test_power_cut_at_creation, 0, 60);
+  tcase_add_loop_test (tcase, test_full_at_any_record, 0, 4 * 60);
   tcase_add_loop_test (tcase, test_power_cut_in_discard, 0, 90);
   tcase_add_loop_test (tcase, test_power_cut_in_install, 0, 60);
   tcase_add_loop_test (tcase, test_damage, 0, G_N_ELEMENTS (damages));
