--- a/tests/path/raw_server.h
+++ b/tests/path/raw_server.h
@@ -17,6 +17,7 @@
 
 #define RAW_REQUEST_MAX 65536  /* bytes */
 #define RAW_LATE_US     900000 /* delay of RAW_LATE */
+#define RAW_RESET_US    2000   /* in which the text of a reset arrives */
 #define RAW_OK          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 /* Action on a request.  */
@@ -24,6 +25,8 @@
 {
   RAW_ANSWER,           /* sends the script's text */
   RAW_ANSWER_AND_CLOSE, /* sends the script's text and closes the connection */
+  RAW_ANSWER_AND_RESET, /* sends the script's text, waits RAW_RESET_US and
+                           resets the connection */
   RAW_CLOSE,            /* reads the request and closes the connection */
   RAW_RESET,            /* reads the request and resets the connection */
   RAW_LATE,             /* sends the script's text after RAW_LATE_US */
@@ -124,6 +127,11 @@
       return false;
     case RAW_CLOSE:
       return false;
+    case RAW_ANSWER_AND_RESET:
+      send (conn->fd, text, strlen (text), MSG_NOSIGNAL);
+      usleep (RAW_RESET_US);
+      setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+      return false;
     case RAW_RESET:
       setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
       return false;
--- a/tests/replica/test_replica.c
+++ b/tests/replica/test_replica.c
@@ -373,23 +373,23 @@
   atomic_store (&disk->full, false);
 }
 
-/* Proposes values of FULL_VALUE bytes until UNTIL, monotonic time in us;
-   returns the number of the last one, of which LAST were proposed before.
-   Sets *ACCEPTED to the count of those that were accepted.  */
-static uint64_t
-propose_until (gint64 until, uint64_t last, uint64_t *accepted)
+/* Proposes values of FULL_VALUE bytes for DURATION_MS, numbered from *LAST + 1
+   on; returns the count of those that were accepted.  */
+static unsigned
+propose_for (unsigned duration_ms, uint64_t *last)
 {
-  *accepted = 0;
+  gint64 until = g_get_monotonic_time () + duration_ms * 1000;
+  unsigned accepted = 0;
   while (g_get_monotonic_time () < until)
     {
       struct member *leader = members_leader (members, FULL_MEMBERS);
       ck_assert_ptr_nonnull (leader);
-      bool done = member_propose_long (leader, ++last, FULL_VALUE) == CY_OK;
-      *accepted += done;
+      bool done = member_propose_long (leader, ++*last, FULL_VALUE) == CY_OK;
+      accepted += done;
       if (!done)
         g_usleep (20000);
     }
-  return last;
+  return accepted;
 }
 
 /* Guards against a cluster that accepts no more changes after the disks of its
@@ -398,7 +398,6 @@
 START_TEST (test_full_in_turn)
 {
   uint64_t last = 0;
-  uint64_t accepted = 0;
   base_folder = members_folder ();
   for (size_t i = 0; i < FULL_MEMBERS; i++)
     member_init (&members[i], i + 1, base_folder);
@@ -410,20 +409,16 @@
       members[i].files = &full_disks[i].files;
       member_start (&members[i]);
     }
-  last = propose_until (g_get_monotonic_time () + FULL_MS * 1000, last,
-                        &accepted);
+  propose_for (FULL_MS, &last);
   for (size_t i = 0; i < FULL_MEMBERS; i++)
     {
       atomic_store (&full_disks[i].full, true);
-      last = propose_until (g_get_monotonic_time () + FULL_MS * 1000, last,
-                            &accepted);
+      propose_for (FULL_MS, &last);
       atomic_store (&full_disks[i].full, false);
     }
-  last = propose_until (g_get_monotonic_time () + RECOVERY_MS * 1000, last,
-                        &accepted);
-  last = propose_until (g_get_monotonic_time () + RECOVERY_MS * 1000, last,
-                        &accepted);
-  ck_assert_msg (accepted >= 10, "accepted %lu changes in %d ms", accepted,
+  propose_for (RECOVERY_MS, &last);
+  unsigned accepted = propose_for (RECOVERY_MS, &last);
+  ck_assert_msg (accepted >= 10, "accepted %u changes in %d ms", accepted,
                  RECOVERY_MS);
   struct member *leader = members_leader (members, FULL_MEMBERS);
   ck_assert_ptr_nonnull (leader);
