--- a/tests/platform/test_calls.c
+++ b/tests/platform/test_calls.c
@@ -222,6 +222,82 @@
 }
 END_TEST
 
+#define TENANTS(rows)                                                         \
+  ",\"tenants\":{\"columns\":[\"name\",\"keys\",\"homeRegions\"],"            \
+  "\"rows\":[" rows "]}"
+#define KEYED(public, tenants)                                                \
+  "{\"version\":\"r7\",\"routes\":{\"columns\":[\"name\",\"host\","           \
+  "\"prefix\",\"kind\",\"timeout\",\"public\",\"service\"],\"rows\":[["       \
+  "\"r\",\"a.example\",\"/x/\",\"idempotent\",\"9ms\"," public ",\"s\"]]},"   \
+                                                               "\"services\"" \
+                                                               ":{"           \
+                                                               "\"columns\":" \
+                                                               "[\"name\"],"  \
+                                                               "\"rows\":[["  \
+                                                               "\"s\"]]"      \
+                                                               "}" tenants    \
+                                                               "}"
+
+/* What an empty list, a missing field and null mean for the keys of callers.
+ */
+static const struct
+{
+  const char *name;
+  const char *text;
+  bool needs_key;
+  bool has_key; /* key "k1" is valid */
+} keyed[] = {
+  { "no table of tenants", KEYED ("false", ""), false, false },
+  { "null in place of the table", KEYED ("false", ",\"tenants\":null"), false,
+    false },
+  { "a table without rows", KEYED ("false", TENANTS ("")), true, false },
+  { "a table without columns and rows",
+    KEYED ("false", ",\"tenants\":{\"columns\":[],\"rows\":[]}"), true,
+    false },
+  { "a tenant with a key", KEYED ("false", TENANTS ("[\"w\",[\"k1\"],[]]")),
+    true, true },
+  { "a tenant with an empty list of keys",
+    KEYED ("false", TENANTS ("[\"w\",[],[]]")), true, false },
+  { "a tenant with null for keys",
+    KEYED ("false", TENANTS ("[\"w\",null,null]")), true, false },
+  { "a public route, a table without rows", KEYED ("true", TENANTS ("")),
+    false, false },
+  { "public is null, a table without rows", KEYED ("null", TENANTS ("")), true,
+    false },
+};
+
+/* Guards against routes that let every key in once the last tenant is removed:
+   what the reader decides, and what is decided after the text was stored and
+   read again, must agree.  */
+START_TEST (test_keyed)
+{
+  struct cyc_call call;
+  struct cyj_error error = { "", "" };
+  struct cyi_document *held = NULL;
+  const char *name = keyed[_i].name;
+  ck_assert_msg (read_call (PUT, keyed[_i].text, &call, &error) == CY_OK,
+                 "%s: refused, %s %s", name, error.path, error.detail);
+  char *text = cyi_document_print (call.declare.document);
+  ck_assert_int_eq (cyi_document_read (text, strlen (text), &held, &error),
+                    CY_OK);
+  const struct cyi_document *documents[] = { call.declare.document, held };
+  for (size_t i = 0; i < G_N_ELEMENTS (documents); i++)
+    {
+      const struct cyi_route *route
+          = cyi_document_find_route (documents[i], "a.example", "/x/1");
+      bool has_key
+          = cyi_document_find_workspace_by_key (documents[i], "k1", 2) != NULL;
+      ck_assert_msg (route->open == !keyed[_i].needs_key, "%s: open is %d",
+                     name, route->open);
+      ck_assert_msg (has_key == keyed[_i].has_key, "%s: key is known: %d",
+                     name, has_key);
+    }
+  free (text);
+  cyi_document_destroy (held);
+  cyc_call_clear (&call);
+}
+END_TEST
+
 static const struct
 {
   const char *method;
@@ -420,6 +496,7 @@
   tcase_add_test (all, test_leave);
   tcase_add_test (all, test_config);
   tcase_add_loop_test (all, test_reads_back, 0, G_N_ELEMENTS (extremes));
+  tcase_add_loop_test (all, test_keyed, 0, G_N_ELEMENTS (keyed));
   tcase_add_loop_test (all, test_simple_calls, 0, G_N_ELEMENTS (simple_calls));
   tcase_add_test (all, test_answers);
   tcase_add_loop_test (all, test_refused, 0, G_N_ELEMENTS (refused));
