--- a/src/core/cyi_document.c
+++ b/src/core/cyi_document.c
@@ -286,6 +286,50 @@
   return route;
 }
 
+char **
+cyi_common_homes (const struct cyi_route *route,
+                  const struct cyi_workspace *workspace)
+{
+  char **first = route->home_regions;
+  char **second = workspace == NULL ? NULL : workspace->home_regions;
+  if (first == NULL || second == NULL)
+    return g_strdupv (first != NULL ? first : second);
+  GPtrArray *common = g_ptr_array_new ();
+  for (char **region = first; *region != NULL; region++)
+    if (g_strv_contains ((const char *const *)second, *region))
+      g_ptr_array_add (common, g_strdup (*region));
+  g_ptr_array_add (common, NULL);
+  return (char **)g_ptr_array_free (common, FALSE);
+}
+
+size_t
+cyi_document_count_homeless (const struct cyi_document *document,
+                             const struct cyi_route **route,
+                             const struct cyi_workspace **workspace)
+{
+  size_t count = 0;
+  for (guint i = 0; i < document->routes->len; i++)
+    {
+      const struct cyi_route *one = g_ptr_array_index (document->routes, i);
+      if (one->open || one->home_regions == NULL)
+        continue;
+      for (guint j = 0; j < document->workspaces->len; j++)
+        {
+          const struct cyi_workspace *other
+              = g_ptr_array_index (document->workspaces, j);
+          char **homes = cyi_common_homes (one, other);
+          bool homeless = homes != NULL && homes[0] == NULL;
+          g_strfreev (homes);
+          if (homeless && count++ == 0)
+            {
+              *route = one;
+              *workspace = other;
+            }
+        }
+    }
+  return count;
+}
+
 const struct cyi_workspace *
 cyi_document_find_workspace_by_key (const struct cyi_document *document,
                                     const char *key, size_t length)
--- a/src/core/cyi_document.h
+++ b/src/core/cyi_document.h
@@ -136,6 +136,19 @@
 cyi_document_find_route (const struct cyi_document *document, const char *host,
                          const char *path);
 
+/* Returns the regions that both ROUTE and WORKSPACE, which may be NULL, allow:
+   NULL if every region may serve such a request, an empty list if none may.
+   Freed by g_strfreev.  */
+char **cyi_common_homes (const struct cyi_route *route,
+                         const struct cyi_workspace *workspace);
+
+/* Returns how many pairs of a route that asks for a key and a workspace have
+   homes without a common region, so that no region may serve their requests.
+   Sets *ROUTE and *WORKSPACE to the first pair.  */
+size_t cyi_document_count_homeless (const struct cyi_document *document,
+                                    const struct cyi_route **route,
+                                    const struct cyi_workspace **workspace);
+
 /* Returns the workspace that declares KEY of LENGTH bytes, NULL if there is
    none.  Owned by DOCUMENT.  */
 const struct cyi_workspace *
--- a/src/entry/cye_route.c
+++ b/src/entry/cye_route.c
@@ -40,21 +40,6 @@
   return CY_OK;
 }
 
-/* Regions that both the route and the workspace allow; NULL: all regions.  The
-   caller frees the list.  */
-static char **
-common_regions (char **route, char **workspace)
-{
-  if (route == NULL || workspace == NULL)
-    return g_strdupv (route != NULL ? route : workspace);
-  GPtrArray *common = g_ptr_array_new ();
-  for (char **region = route; *region != NULL; region++)
-    if (g_strv_contains ((const char *const *)workspace, *region))
-      g_ptr_array_add (common, g_strdup (*region));
-  g_ptr_array_add (common, NULL);
-  return (char **)g_ptr_array_free (common, FALSE);
-}
-
 static void
 set_affinity (struct cye_request *request, const struct cyi_route *route,
               const struct cye_request_head *head)
@@ -97,7 +82,8 @@
   return CY_OK;
 }
 
-static void
+/* CY_E_NO_BACKEND when no region may serve the request.  */
+static cy_result
 set_place (struct cye_request *request, const struct cyi_route *route,
            const struct cyi_workspace *workspace,
            const struct cye_request_head *head)
@@ -107,10 +93,13 @@
   g_strlcpy (place->workspace, request->workspace, sizeof place->workspace);
   place->rank = ranked ? workspace->rank : route->rank;
   place->route_rank = route->rank;
-  place->allowed_regions = common_regions (
-      route->home_regions, workspace == NULL ? NULL : workspace->home_regions);
+  place->allowed_regions = cyi_common_homes (route, workspace);
   set_affinity (request, route, head);
   set_times (request, route, head);
+  /* The placer takes an empty list for one without limits.  */
+  bool no_region
+      = place->allowed_regions != NULL && place->allowed_regions[0] == NULL;
+  return no_region ? CY_E_NO_BACKEND : CY_OK;
 }
 
 /* Finds the route by the path as the caller sent it, without the query.  */
@@ -143,7 +132,7 @@
   if (result == CY_OK)
     result = choose_service (request, route);
   if (result == CY_OK)
-    set_place (request, route, workspace, head);
+    result = set_place (request, route, workspace, head);
   return result;
 }
 
--- a/src/hub/cyc_log.c
+++ b/src/hub/cyc_log.c
@@ -61,6 +61,20 @@
   hub->proposed = NULL;
 }
 
+static void
+warn_of_homeless (const struct cyi_document *document)
+{
+  const struct cyi_route *route = NULL;
+  const struct cyi_workspace *workspace = NULL;
+  size_t count = cyi_document_count_homeless (document, &route, &workspace);
+  if (count > 0)
+    cyu_log (G_LOG_LEVEL_WARNING,
+             "declaration %" PRIu64 ": no region may serve requests of "
+             "workspace %s on route %s, whose homes have none in common; "
+             "pairs: %zu",
+             document->number, workspace->name, route->name, count);
+}
+
 static void
 update_document (struct cyc_hub *hub)
 {
@@ -86,6 +100,7 @@
                error.path, error.detail);
       return;
     }
+  warn_of_homeless (updated);
   cyi_document_destroy (hub->document);
   hub->document = updated;
   cyc_children_set_document (hub, held);
--- a/tests/hub/test_numbered.c
+++ b/tests/hub/test_numbered.c
@@ -189,6 +189,63 @@
 }
 END_TEST
 
+/* ------------------------------------------------------------ homes */
+
+#define HOMES_MAX 3
+
+/* Regions of a route and of a workspace, and those that may serve both; "-"
+   for a list that is empty, none for no list.  */
+static const struct
+{
+  const char *name;
+  const char *route[HOMES_MAX];
+  const char *workspace[HOMES_MAX];
+  const char *common[HOMES_MAX];
+} homes[] = {
+  { "none has homes", { NULL }, { NULL }, { NULL } },
+  { "the route has", { "east", "west" }, { NULL }, { "east", "west" } },
+  { "the workspace has", { NULL }, { "west" }, { "west" } },
+  { "both have the same", { "east" }, { "east" }, { "east" } },
+  { "one in common", { "east", "west" }, { "west", "north" }, { "west" } },
+  { "nothing in common", { "east" }, { "west" }, { "-" } },
+};
+
+static char **
+home_list (const char *const names[HOMES_MAX])
+{
+  return names[0] == NULL ? NULL : g_strdupv ((char **)names);
+}
+
+/* Guards against requests that run in all regions because the homes of their
+   route and their workspace have none in common.  */
+START_TEST (test_homes)
+{
+  struct cyi_document *document = cyi_document_create (1);
+  struct cyi_route *route = cyi_document_add_route (document);
+  struct cyi_workspace *workspace = cyi_document_add_workspace (document);
+  const struct cyi_route *homeless_route = NULL;
+  const struct cyi_workspace *homeless_workspace = NULL;
+  route->home_regions = home_list (homes[_i].route);
+  workspace->home_regions = home_list (homes[_i].workspace);
+  char **common = cyi_common_homes (route, workspace);
+  bool none = g_strcmp0 (homes[_i].common[0], "-") == 0;
+  ck_assert_int_eq (common == NULL, homes[_i].common[0] == NULL);
+  for (size_t i = 0; common != NULL && i < HOMES_MAX; i++)
+    {
+      const char *expected = none ? NULL : homes[_i].common[i];
+      ck_assert_msg (g_strcmp0 (common[i], expected) == 0, "%s: %s",
+                     homes[_i].name, common[i]);
+      if (expected == NULL)
+        break;
+    }
+  ck_assert_uint_eq (cyi_document_count_homeless (document, &homeless_route,
+                                                  &homeless_workspace),
+                     none ? 1 : 0);
+  g_strfreev (common);
+  cyi_document_destroy (document);
+}
+END_TEST
+
 /* ------------------------------------------------------------ numbers */
 
 static const struct
@@ -249,6 +306,7 @@
   tcase_add_test (all, test_many_routes);
   tcase_add_test (all, test_weights);
   tcase_add_loop_test (all, test_refused, 0, G_N_ELEMENTS (refused));
+  tcase_add_loop_test (all, test_homes, 0, G_N_ELEMENTS (homes));
   tcase_add_test (all, test_numbers);
   suite_add_tcase (suite, all);
   return cy_test_run (suite);
