--- a/src/core/cyi_document.c
+++ b/src/core/cyi_document.c
@@ -130,6 +130,16 @@
   return result;
 }
 
+static cy_result
+check_name (struct cyj_error *error, const char *section, const char *name)
+{
+  if (strlen (name) <= CYI_NAME_MAX)
+    return CY_OK;
+  return fail_field (error, CY_E_DECL_FIELD, section, name, "name",
+                     "must have at most %d bytes, has %zu", CYI_NAME_MAX,
+                     strlen (name));
+}
+
 static cy_result
 check_backends (const struct cyi_document *document,
                 const struct cyi_route *route, struct cyj_error *error)
@@ -214,6 +224,9 @@
       struct cyi_workspace *workspace
           = g_ptr_array_index (document->workspaces, i);
       const char *name = workspace->name;
+      cy_result result = check_name (error, "workspaces", name);
+      if (result != CY_OK)
+        return result;
       if (!isfinite (workspace->rate) || workspace->rate < 0
           || !isfinite (workspace->burst) || workspace->burst < 0)
         return fail_field (error, CY_E_DECL_FIELD, "workspaces", name, "rate",
@@ -242,6 +255,9 @@
   for (guint i = 0; i < document->services->len; i++)
     {
       struct cyi_service *service = g_ptr_array_index (document->services, i);
+      cy_result result = check_name (error, "services", service->name);
+      if (result != CY_OK)
+        return result;
       if (!g_hash_table_insert (document->services_by_name, service->name,
                                 service))
         return fail_field (error, CY_E_DECL_FIELD, "services", service->name,
--- a/src/core/cyi_document.h
+++ b/src/core/cyi_document.h
@@ -19,6 +19,10 @@
 #define CYI_RANK_LAST 1000 /* least urgent rank, the default; 0 is first */
 #define CYI_KEY_MAX   256  /* bytes of a key's text */
 
+/* Bytes of the name of a service or a workspace: what the placers keep.  Two
+   longer names could become one.  */
+#define CYI_NAME_MAX 127
+
 /* Largest values of a declaration, for every dialect that it may be written
    in: what one of them accepts must be readable after it was printed.  */
 #define CYI_TIME_MAX_MS 1000000000 /* ms, 11 days */
--- a/src/entry/cye_refusal.c
+++ b/src/entry/cye_refusal.c
@@ -36,7 +36,7 @@
   { CY_E_ANNOUNCE_INVALID, 400 }, { CY_E_ZONE_MISMATCH, 409 },
   { CY_E_EXISTS, 409 },           { CY_E_BACKEND_FAILED, 502 },
   { CY_E_TIMEOUT, 504 },          { CY_E_ARGUMENT, 400 },
-  { CY_E_ANSWER_INVALID, 502 },
+  { CY_E_ANSWER_INVALID, 502 },   { CY_E_METHOD_TOO_LONG, 501 },
 };
 
 unsigned
--- a/src/entry/cye_request.c
+++ b/src/entry/cye_request.c
@@ -94,12 +94,14 @@
 handle_head (struct cye_request *request, const char *method)
 {
   request->head_received = true;
-  g_strlcpy (request->method, method, sizeof request->method);
+  bool fits = g_strlcpy (request->method, method, sizeof request->method)
+              < sizeof request->method;
   request->is_local = request->shared->layout == CYE_TREE
                       && cye_local_handles (request->uri);
   if (request->is_local)
     return MHD_YES;
-  cy_result result = cye_admit_check_head (request);
+  cy_result result
+      = fits ? cye_admit_check_head (request) : CY_E_METHOD_TOO_LONG;
   if (result != CY_OK)
     {
       request->refusal = result;
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -14,7 +14,8 @@
 #include "entry/cye_request.h"
 #include "entry/cye_target.h"
 
-#define CYE_METHOD_MAX 16 /* bytes of a method's name and its final zero */
+/* Bytes of a method's name with its final NUL; a longer one is refused.  */
+#define CYE_METHOD_MAX 64
 
 enum cye_stage
 {
--- a/tests/hub/test_numbered.c
+++ b/tests/hub/test_numbered.c
@@ -176,6 +176,30 @@
     "workspaces.w.rate" },
 };
 
+/* Names of which only the last byte differs.  Guards against two services or
+   workspaces that become one, as the placers keep the first 127 bytes.  */
+START_TEST (test_long_names)
+{
+  static const char *const sections[] = { "services", "workspaces" };
+  size_t length = _i < 2 ? CYI_NAME_MAX : CYI_NAME_MAX + 1;
+  char *name = g_strnfill (length, 'n');
+  name[length - 1] = '\0';
+  char *text
+      = g_strdup_printf ("{\"number\":7,\"%s\":{\"%sa\":{},\"%sb\":{}}}",
+                         sections[_i % 2], name, name);
+  struct cyj_error error = { "", "" };
+  struct cyi_document *document = NULL;
+  cy_result result
+      = cyi_document_read (text, strlen (text), &document, &error);
+  ck_assert_int_eq (result, length > CYI_NAME_MAX ? CY_E_DECL_FIELD : CY_OK);
+  ck_assert (
+      g_str_has_prefix (error.path, result == CY_OK ? "" : sections[_i % 2]));
+  cyi_document_destroy (document);
+  g_free (name);
+  g_free (text);
+}
+END_TEST
+
 START_TEST (test_refused)
 {
   struct cyj_error error = { "", "" };
@@ -306,6 +330,7 @@
   tcase_add_test (all, test_many_routes);
   tcase_add_test (all, test_weights);
   tcase_add_loop_test (all, test_refused, 0, G_N_ELEMENTS (refused));
+  tcase_add_loop_test (all, test_long_names, 0, 4);
   tcase_add_loop_test (all, test_homes, 0, G_N_ELEMENTS (homes));
   tcase_add_test (all, test_numbers);
   suite_add_tcase (suite, all);
--- a/tests/path/test_golden.c
+++ b/tests/path/test_golden.c
@@ -32,6 +32,14 @@
 static const struct session sessions[] = {
   { "get", KEYED ("GET", "/invoices?month=5") "Accept: text/plain\r\n" END,
     ANSWERS (NULL) },
+  { "unknown-method",
+    KEYED ("A-METHOD-OF-63-BYTES-THAT-THE-BACKEND-SERVER-MUST-GET-AS-IT-IS-",
+           "/invoices") END,
+    ANSWERS (NULL) },
+  { "too-long-method",
+    KEYED ("A-METHOD-OF-64-BYTES-THAT-IS-REFUSED-INSTEAD-OF-BEING-CUT-SHORT-",
+           "/invoices") END,
+    ANSWERS (NULL) },
   { "post",
     KEYED ("POST",
            "/invoices") "Content-Length: 7\r\nIdempotency-Key: i-1\r\n" END
