--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -9,15 +9,18 @@
 #include "entry/cye_headers.h"
 
 #define CYE_ANSWER_HEADERS_MAX 200   /* further headers are dropped */
-#define CYE_ANSWER_BYTES_MAX   32768 /* of all headers of an answer */
-#define CYE_KEEPALIVE_S        5L    /* s between TCP keep-alive probes */
+#define CYE_ANSWER_BYTES_MAX   32768 /* of all heads and trailers of an answer \
+                                      */
+#define CYE_ANSWER_LINES_MAX 1000    /* of them; libcurl keeps each one */
+#define CYE_KEEPALIVE_S      5L      /* s between TCP keep-alive probes */
 
 struct cye_call
 {
   struct cye_call_options options;
   CURL *easy;
   struct cye_answer_head head;
-  size_t head_bytes; /* of all answer heads, interim ones too */
+  size_t head_bytes; /* of all answer heads, interim ones and trailers too */
+  size_t head_lines;
   struct cye_buffer body;
   uint64_t body_bytes;    /* received of the answer's body */
   uint64_t sent_bytes;    /* passed to libcurl of the request's body */
@@ -149,11 +152,12 @@
 {
   struct cye_call *call = context;
   size_t length = size * count;
-  if (call->head.complete)
-    return length; /* trailers are not passed on */
   call->head_bytes += length;
-  if (call->head_bytes > CYE_ANSWER_BYTES_MAX)
+  if (call->head_bytes > CYE_ANSWER_BYTES_MAX
+      || ++call->head_lines > CYE_ANSWER_LINES_MAX)
     return 0;
+  if (call->head.complete)
+    return length; /* trailers are not passed on */
   if (call->first_byte_at == 0)
     call->first_byte_at = cy_clock_now (call->options.clock);
   if (length > 5 && strncmp (line, "HTTP/", 5) == 0)
--- a/tests/path/test_call.c
+++ b/tests/path/test_call.c
@@ -127,7 +127,7 @@
   const char *pattern;
   const char *text;
   const char *more;
-  bool body;  /* follows a complete head, so only the timeout ends the call */
+  bool body;  /* belongs to the body, so only the timeout ends the call */
   bool reads; /* the test reads the body */
 } endless[] = {
   { "no answer at all", "\1\2\3", "\4\5\6\7", false, true },
@@ -146,7 +146,12 @@
   { "trailers",
     OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
             "4\r\nmore\r\n0\r\n",
-    "X-More: and more\r\n", true, true },
+    "X-More: and more\r\n", false, true },
+  { "trailers of one letter",
+    OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+            "4\r\nmore\r\n0\r\n",
+    "a:\r\n", false, true },
+  { "headers of one letter", OK_HEAD, "a:\r\n", false, true },
 };
 
 /* Guards against a backend server that never stops sending: the call must fail
