--- a/src/core/cyc_serving.h
+++ b/src/core/cyc_serving.h
@@ -1,17 +1,19 @@
 /* Decides whether entry VMs may use the declaration that a control VM holds.
 
    A control VM that has held everything that a leader had committed continues
-   to serve its declaration, isolated or not, until its peers report changes
-   that do not reach it: its member was removed, or its disk keeps nothing.
-   After a restart it holds the declaration of its disk, which may be outdated.
-     It serves that one while it
+   to serve its declaration, isolated or not.  After a restart it holds the
+   declaration of its disk, which may be outdated.  It serves that one while it
    reaches a majority of the control VMs and none of them is a leader, as after
-   a loss of power at all VMs.  */
+   a loss of power at all VMs.
+
+   In both cases it stops when its peers report changes that do not reach it:
+   its member was removed, or its disk keeps nothing.  */
 
 #ifndef CYC_SERVING_H
 #define CYC_SERVING_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "core/cy_clock.h"
@@ -27,14 +29,27 @@
    a drained zone has to be empty within 5 s.  */
 #define CYC_LAG_MAX_MS 2000
 
+/* A log index that peers have committed, and the time of their first report of
+   it.  */
+struct cyc_serving_report
+{
+  uint64_t committed;
+  cy_time_ns at;
+};
+
+/* Reports that are kept, at most one each CYC_REPORT_INTERVAL_MS.  */
+#define CYC_REPORTS_MAX        24
+#define CYC_REPORT_INTERVAL_MS 100
+
 struct cyc_serving
 {
   bool caught_up; /* has held all that a leader had committed, since the
                      start */
   cy_time_ns disk_allowed_until; /* end of serving from the disk, 0: never */
-  bool lags;              /* has lacked committed changes for CYC_LAG_MAX_MS */
-  uint64_t reported;      /* log index that peers have committed */
-  cy_time_ns reported_at; /* time of the first report of REPORTED */
+  bool lags; /* lacks a change for CYC_LAG_MAX_MS or longer */
+  size_t report_count;
+  struct cyc_serving_report reports[CYC_REPORTS_MAX]; /* not applied here yet,
+                                                         the oldest first */
 };
 
 struct cyc_serving_input
--- a/tests/replica/world_disk.h
+++ b/tests/replica/world_disk.h
@@ -11,7 +11,9 @@
 #include "core/cyr_core.h"
 #include "cy_test.h"
 
-#define NODES_MAX   18
+#ifndef NODES_MAX
+#define NODES_MAX 18
+#endif
 #define CHUNK_BYTES 48 /* snapshot bytes in one message */
 
 /* ------------------------------------------------------------ types */
