--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -9,10 +9,9 @@
 #include "entry/cye_headers.h"
 
 #define CYE_ANSWER_HEADERS_MAX 200   /* further headers are dropped */
-#define CYE_ANSWER_BYTES_MAX   32768 /* of all heads and trailers of an answer \
-                                      */
-#define CYE_ANSWER_LINES_MAX 1000    /* of them; libcurl keeps each one */
-#define CYE_KEEPALIVE_S      5L      /* s between TCP keep-alive probes */
+#define CYE_ANSWER_BYTES_MAX   32768 /* of its heads and its trailers */
+#define CYE_ANSWER_LINES_MAX   1000  /* of them; libcurl keeps each one */
+#define CYE_KEEPALIVE_S        5L    /* s between TCP keep-alive probes */
 
 struct cye_call
 {
