--- a/src/core/cyi_document.c
+++ b/src/core/cyi_document.c
@@ -318,6 +318,18 @@
   return (char **)g_ptr_array_free (common, FALSE);
 }
 
+/* True when both lists of regions are given and have none in common.  */
+static bool
+are_disjoint (char **first, char **second)
+{
+  if (first == NULL || second == NULL)
+    return false;
+  for (char **region = first; *region != NULL; region++)
+    if (g_strv_contains ((const char *const *)second, *region))
+      return false;
+  return true;
+}
+
 size_t
 cyi_document_count_homeless (const struct cyi_document *document,
                              const struct cyi_route **route,
@@ -333,9 +345,8 @@
         {
           const struct cyi_workspace *other
               = g_ptr_array_index (document->workspaces, j);
-          char **homes = cyi_common_homes (one, other);
-          bool homeless = homes != NULL && homes[0] == NULL;
-          g_strfreev (homes);
+          bool homeless
+              = are_disjoint (one->home_regions, other->home_regions);
           if (homeless && count++ == 0)
             {
               *route = one;
--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -394,9 +394,10 @@
 {
   struct cye_call *call = NULL;
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &call);
-  /* A server may answer and close without reading the whole request.  */
-  if (code != CURLE_OK && call->options.upload != NULL
-      && cye_call_has_whole_answer (call))
+  /* A server may answer and close without reading the whole request.  An error
+     of a write callback means that the answer was refused here.  */
+  if (code != CURLE_OK && code != CURLE_WRITE_ERROR
+      && call->options.upload != NULL && cye_call_has_whole_answer (call))
     code = CURLE_OK;
   call->ended = true;
   call->code = code;
