--- a/src/core/cyc_serving.h
+++ b/src/core/cyc_serving.h
@@ -25,7 +25,7 @@
 #define CYC_SERVE_FROM_DISK_MS 1500
 
 /* Time for which a change may be committed elsewhere before a control VM that
-   has not applied it stops to serve, ms.  An election takes at most as long;
+   has not applied it stops serving, ms.  An election takes at most as long;
    a drained zone has to be empty within 5 s.  */
 #define CYC_LAG_MAX_MS 2000
 
@@ -65,8 +65,8 @@
                          cy_time_ns now);
 
 /* Compares the log index that this VM has APPLIED with the highest one that
-   its peers have COMMITTED.  Returns true when the VM stops to serve because
-   it lacks changes; it starts again when it is caught up.  */
+   its peers have COMMITTED.  Returns true when the VM stops serving because it
+   lacks changes; it serves again once it has caught up.  */
 bool cyc_serving_follow (struct cyc_serving *serving, uint64_t applied,
                          uint64_t committed, cy_time_ns now);
 
--- a/src/hub/cyc_join.c
+++ b/src/hub/cyc_join.c
@@ -42,8 +42,8 @@
              cy_result_text (result));
 }
 
-/* Returns what the peers reported, in the order of the list of peers, and sets
- *COUNT.  Freed by the caller.  */
+/* Returns what the peers reported, in the order of the list of peers, and
+   their number in COUNT.  Freed by the caller.  */
 static struct cyc_admission_vm *
 list_vms (const struct cyc_hub *hub, cy_time_ns now, size_t *count)
 {
--- a/tests/hub/test_membership.c
+++ b/tests/hub/test_membership.c
@@ -17,10 +17,10 @@
 
 #include "core/cyc_admission.h"
 #include "core/cyc_serving.h"
+#include "replica/seeds.h"
 #include "replica/world.h"
 
 #define SCHEDULES       10000
-#define THREADS         4
 #define VMS             6 /* at the start, one in each zone */
 #define VMS_MAX         10
 #define LOST_MAX        2 /* VMs that may be lost at once */
@@ -625,8 +625,9 @@
 };
 
 static void
-run_schedule (uint64_t seed, struct totals *totals)
+run_schedule (uint64_t seed, void *context)
 {
+  struct totals *totals = context;
   struct model model = { 0 };
   struct cluster *cluster = &model.cluster;
   cluster_init (cluster, seed);
@@ -664,55 +665,19 @@
 
 /* ------------------------------------------------------------ runs */
 
-struct seed_range
-{
-  uint64_t first;
-  uint64_t last;
-  struct totals totals;
-};
-
-static gpointer
-run_seed_range (gpointer context)
-{
-  struct seed_range *range = context;
-  for (uint64_t seed = range->first; seed <= range->last; seed++)
-    run_schedule (seed, &range->totals);
-  return NULL;
-}
-
 START_TEST (test_membership)
 {
-  const char *single_seed = g_getenv ("MEMBERSHIP_SEED");
-  const char *schedules = g_getenv ("MEMBERSHIP_SCHEDULES");
-  uint64_t count
-      = schedules == NULL ? SCHEDULES : g_ascii_strtoull (schedules, NULL, 10);
-  struct seed_range ranges[THREADS] = { 0 };
-  GThread *threads[THREADS];
+  struct seed_runs runs = { .seed_name = "MEMBERSHIP_SEED",
+                            .count_name = "MEMBERSHIP_SCHEDULES",
+                            .count = SCHEDULES,
+                            .run = run_schedule,
+                            .totals_size = sizeof (struct totals) };
   struct totals totals = { 0 };
-  if (single_seed != NULL)
-    {
-      run_schedule (g_ascii_strtoull (single_seed, NULL, 10), &totals);
-      ck_assert_uint_eq (totals.failed, 0);
-      return;
-    }
-  for (uint64_t i = 0; i < THREADS; i++)
-    {
-      ranges[i].first = 1 + count * i / THREADS;
-      ranges[i].last = count * (i + 1) / THREADS;
-      threads[i] = g_thread_new ("membership", run_seed_range, &ranges[i]);
-    }
-  for (size_t i = 0; i < THREADS; i++)
-    {
-      g_thread_join (threads[i]);
-      totals.rejoined += ranges[i].totals.rejoined;
-      totals.placements += ranges[i].totals.placements;
-      totals.acknowledged += ranges[i].totals.acknowledged;
-      totals.failed += ranges[i].totals.failed;
-    }
-  printf ("%lu schedules, seeds 1 to %lu: %lu acknowledged, %lu joined again, "
+  uint64_t count = run_seeds (&runs, &totals);
+  printf ("%lu schedules: %lu acknowledged, %lu joined again, "
           "%lu placements checked, %lu failed\n",
-          count, count, totals.acknowledged, totals.rejoined,
-          totals.placements, totals.failed);
+          count, totals.acknowledged, totals.rejoined, totals.placements,
+          totals.failed);
   ck_assert_uint_eq (totals.failed, 0);
 }
 END_TEST
--- a/tests/replica/test_schedules.c
+++ b/tests/replica/test_schedules.c
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include "replica/seeds.h"
 #include "replica/world.h"
 
 #define SCHEDULES       10000
@@ -18,7 +19,6 @@
 #define CONVERGE_LIMIT_NS (15 * CY_NS_PER_S)
 
 #define SLICE_NS       (30 * CY_NS_PER_MS)
-#define THREADS        4
 #define FAULT_PERMILLE 120 /* chance of a fault in each slice */
 
 static _Thread_local char seed_text[40]; /* text of print_seed_on_abort */
@@ -369,8 +369,9 @@
 }
 
 static void
-run_schedule (uint64_t seed, struct totals *totals)
+run_schedule (uint64_t seed, void *context)
 {
+  struct totals *totals = context;
   static const size_t sizes[] = { 3, 3, 3, 5, 5, 7, 1, 2 };
   struct cluster cluster;
   snprintf (seed_text, sizeof seed_text, "in schedule of seed %lu\n", seed);
@@ -412,22 +413,6 @@
 
 /* ------------------------------------------------------------ runs */
 
-struct seed_range
-{
-  uint64_t first;
-  uint64_t last;
-  struct totals totals;
-};
-
-static gpointer
-run_seed_range (gpointer context)
-{
-  struct seed_range *seed_range = context;
-  for (uint64_t seed = seed_range->first; seed <= seed_range->last; seed++)
-    run_schedule (seed, &seed_range->totals);
-  return NULL;
-}
-
 /* Prints the seed when a failed assertion of the core aborts the process.  */
 static void
 print_seed_on_abort (int number)
@@ -440,40 +425,18 @@
 
 START_TEST (test_schedules)
 {
-  const char *single_seed = g_getenv ("REPLICA_SEED");
-  const char *schedule_count = g_getenv ("REPLICA_SCHEDULES");
-  uint64_t count = schedule_count == NULL
-                       ? SCHEDULES
-                       : g_ascii_strtoull (schedule_count, NULL, 10);
-  struct seed_range ranges[THREADS] = { 0 };
-  GThread *threads[THREADS];
+  struct seed_runs runs = { .seed_name = "REPLICA_SEED",
+                            .count_name = "REPLICA_SCHEDULES",
+                            .count = SCHEDULES,
+                            .run = run_schedule,
+                            .totals_size = sizeof (struct totals) };
   struct totals totals = { 0 };
   signal (SIGABRT, print_seed_on_abort);
-  if (single_seed != NULL)
-    {
-      run_schedule (g_ascii_strtoull (single_seed, NULL, 10), &totals);
-      ck_assert_uint_eq (totals.failed, 0);
-      return;
-    }
-  for (uint64_t i = 0; i < THREADS; i++)
-    {
-      ranges[i].first = 1 + count * i / THREADS;
-      ranges[i].last = count * (i + 1) / THREADS;
-      threads[i] = g_thread_new ("schedules", run_seed_range, &ranges[i]);
-    }
-  for (size_t i = 0; i < THREADS; i++)
-    {
-      g_thread_join (threads[i]);
-      totals.acked += ranges[i].totals.acked;
-      totals.terms += ranges[i].totals.terms;
-      totals.installed += ranges[i].totals.installed;
-      totals.changes += ranges[i].totals.changes;
-      totals.failed += ranges[i].totals.failed;
-    }
-  printf ("%lu schedules, seeds 1 to %lu: %lu acknowledged, %lu terms, "
+  uint64_t count = run_seeds (&runs, &totals);
+  printf ("%lu schedules: %lu acknowledged, %lu terms, "
           "%lu snapshots installed, %lu member changes, %lu failed\n",
-          count, count, totals.acked, totals.terms, totals.installed,
-          totals.changes, totals.failed);
+          count, totals.acked, totals.terms, totals.installed, totals.changes,
+          totals.failed);
   fflush (stdout);
   ck_assert_uint_eq (totals.failed, 0);
 }
