A leave of a later incarnation counts before that has announced itself

Callers saw requests run by a server whose leave had been confirmed, if the control VMs held an earlier incarnation of it and a late announcement followed.

Cause: the register dropped a leave whose start time was not that of the incarnation held, also when it was later. The leave was confirmed all the same, and the late announcement then looked like a new incarnation.

Change: such a leave replaces the earlier incarnation. An earlier one is stale, as before. Leaves forwarded between control VMs keep their age.

Evidence: test_register, row "a later incarnation leaves before it has announced itself here", failed with the old comparison (announcement 1 of 3) and passes.

--- a/src/core/cyc_register.c
+++ b/src/core/cyc_register.c
@@ -132,6 +132,13 @@
   return (uint32_t)((instance->cold_until - now) / CY_NS_PER_MS) + 1;
 }
 
+bool
+cyc_instance_departs (const struct cyc_instance *instance)
+{
+  const Cy__Instance *info = instance->info;
+  return info->gone || info->draining || info->leaving;
+}
+
 /* ------------------------------------------------------------ instances */
 
 static uint64_t
@@ -140,6 +147,15 @@
   return XXH64 (info->id, strlen (info->id), info->born);
 }
 
+/* Keeps INSTANCE as a removed one.  */
+static void
+mark_gone (struct cyc_register *reg, struct cyc_instance *instance)
+{
+  instance->info->gone = true;
+  instance->sequence = ++reg->sequence;
+  release_address (reg, instance);
+}
+
 /* Marks the server that owned the address of INFO as gone.  Returns false when
    that server started later: INFO is of an earlier user of the address.  */
 static bool
@@ -156,9 +172,7 @@
     return true;
   if (owner->info->born > info->born)
     return false;
-  owner->info->gone = true;
-  owner->sequence = ++reg->sequence;
-  release_address (reg, owner);
+  mark_gone (reg, owner);
   return true;
 }
 
@@ -211,19 +225,23 @@
    other processes may know it.  */
 static enum cyc_register_effect
 receive_removal (struct cyc_register *reg, const Cy__Instance *info,
-                 cy_time_ns now)
+                 cy_time_ns sent_at)
 {
   struct cyc_instance *held = cyc_register_find (reg, info->id);
-  if (held != NULL && info->born != 0 && info->born != held->info->born)
+  if (held != NULL && info->born != 0 && info->born < held->info->born)
     return CYC_STALE;
+  /* The incarnation held is an earlier one of the server.  */
+  if (held != NULL && info->born > held->info->born)
+    {
+      remove_instance (reg, held);
+      held = NULL;
+    }
   if (held != NULL && held->info->gone)
     return CYC_RENEWED;
   if (held == NULL)
     held = add_instance (reg, info);
-  held->info->gone = true;
-  held->last_received = now;
-  release_address (reg, held);
-  held->sequence = ++reg->sequence;
+  held->last_received = MAX (held->last_received, sent_at);
+  mark_gone (reg, held);
   return CYC_CHANGED;
 }
 
@@ -281,7 +299,7 @@
   cy_time_ns sent_at = now - (cy_time_ns)info->age_ms * CY_NS_PER_MS;
   struct cyc_instance *held = cyc_register_find (reg, info->id);
   if (info->gone)
-    return receive_removal (reg, info, now);
+    return receive_removal (reg, info, sent_at);
   bool is_new = held == NULL || info->born > held->info->born;
   bool same_incarnation = held != NULL && info->born == held->info->born;
   if (held != NULL && info->born < held->info->born)
--- a/src/core/cyc_register.h
+++ b/src/core/cyc_register.h
@@ -120,6 +120,9 @@
 unsigned cyc_register_expire (struct cyc_register *reg, cy_time_ns now,
                               cy_time_ns instance_ns, cy_time_ns entry_ns);
 
+/* True when INSTANCE is gone, drains or leaves.  */
+bool cyc_instance_departs (const struct cyc_instance *instance);
+
 /* Returns the rest at NOW of the cold time that INSTANCE announced, ms.  */
 uint32_t cyc_instance_cold_ms (const struct cyc_instance *instance,
                                cy_time_ns now);
