A drain counts though another server has taken the address

Where start times are not known, a server that drains could take the address of a later one, which was marked as gone and refused for a minute. Where they are known, its drain was confirmed and dropped, as the address was taken, so that a late announcement from elsewhere made it ready.

Cause: the register took or refused the address as a whole and knew no order of servers without start times.

Change: of two servers without an order, the one that drains or leaves is the earlier owner. A draining server that does not get its address counts as gone.

Evidence: test_register, rows "drains after its address went to a later server" and "without an order, a server that drains does not take an address", fail without it.

--- a/src/core/cyc_register.c
+++ b/src/core/cyc_register.c
@@ -157,7 +157,8 @@
 }
 
 /* Marks the server that owned the address of INFO as gone.  Returns false when
-   that server started later: INFO is of an earlier user of the address.  */
+   that server started later: INFO is of an earlier user of the address.  Of
+   two servers without an order, one that drains or leaves is the earlier.  */
 static bool
 claim_address (struct cyc_register *reg, const Cy__Instance *info)
 {
@@ -170,7 +171,10 @@
   g_free (address);
   if (!is_other)
     return true;
-  if (owner->info->born > info->born)
+  bool departs = info->draining || info->leaving;
+  if (owner->info->born > info->born
+      || (owner->info->born == info->born && departs
+          && !cyc_instance_departs (owner)))
     return false;
   mark_gone (reg, owner);
   return true;
@@ -311,7 +315,9 @@
       && (held->info->gone || info->sequence < held->info->sequence))
     return leaves_now ? CYC_CHANGED : CYC_STALE;
   if (!claim_address (reg, info))
-    return CYC_STALE;
+    return info->draining || info->leaving
+               ? receive_removal (reg, info, sent_at)
+               : CYC_STALE;
   if (is_new && held != NULL)
     remove_instance (reg, held);
   bool changed = is_new || instance_differs (held, info, now);
