The drain of a silent server is not forgotten

Callers' requests could reach a draining server again 8 s after it had gone silent, when an announcement of before its drain arrived late.

Cause: the register removed servers that were silent for 8 s, draining ones too, and so lost their drain. A leave was kept for 60 s.

Change: a server that drains or leaves counts as gone when its announcements end, so it is kept as long as one that left. Servers kept as gone are bounded: 10,000, the oldest are dropped first; they fit into one message.

Evidence: test_register, test_late (3 of 9 rows failed before: drains 9 and 30 s late, leaving 30 s late) and test_tombstone_bounds.

--- a/src/core/cyc_register.c
+++ b/src/core/cyc_register.c
@@ -421,6 +421,29 @@
 
 /* ------------------------------------------------------------ expiry */
 
+static gint
+compare_received (gconstpointer a, gconstpointer b)
+{
+  const struct cyc_instance *const *first = a;
+  const struct cyc_instance *const *second = b;
+  return ((*first)->last_received > (*second)->last_received)
+         - ((*first)->last_received < (*second)->last_received);
+}
+
+/* Removes the oldest servers of GONE, all that are kept as removed, until
+   CYC_TOMBSTONES_MAX are left.  Returns how many were removed.  */
+static unsigned
+limit_tombstones (struct cyc_register *reg, GPtrArray *gone)
+{
+  unsigned excess
+      = gone->len > CYC_TOMBSTONES_MAX ? gone->len - CYC_TOMBSTONES_MAX : 0;
+  if (excess > 0)
+    g_ptr_array_sort (gone, compare_received);
+  for (unsigned i = 0; i < excess; i++)
+    remove_instance (reg, g_ptr_array_index (gone, i));
+  return excess;
+}
+
 unsigned
 cyc_register_expire (struct cyc_register *reg, cy_time_ns now,
                      cy_time_ns instance_ns, cy_time_ns entry_ns)
@@ -429,16 +452,26 @@
   struct cyc_instance *next_instance = NULL;
   struct cyc_entry *vm = NULL;
   struct cyc_entry *next_vm = NULL;
+  GPtrArray *gone = g_ptr_array_new ();
   unsigned count = 0;
   CK_LIST_FOREACH_SAFE (instance, &reg->instances, entry, next_instance)
   {
     cy_time_ns limit
         = instance->info->gone ? CYC_TOMBSTONE_S * CY_NS_PER_S : instance_ns;
     if (now - instance->last_received <= limit)
-      continue;
-    remove_instance (reg, instance);
+      {
+        if (instance->info->gone)
+          g_ptr_array_add (gone, instance);
+        continue;
+      }
+    if (cyc_instance_departs (instance) && !instance->info->gone)
+      mark_gone (reg, instance);
+    else
+      remove_instance (reg, instance);
     count++;
   }
+  count += limit_tombstones (reg, gone);
+  g_ptr_array_unref (gone);
   CK_LIST_FOREACH_SAFE (vm, &reg->entries, entry, next_vm)
   {
     if (now - vm->last_received <= entry_ns)
--- a/src/core/cyc_register.h
+++ b/src/core/cyc_register.h
@@ -18,6 +18,9 @@
    are refused, s.  */
 #define CYC_TOMBSTONE_S 60
 
+/* Removed incarnations that are kept; the oldest are dropped first.  */
+#define CYC_TOMBSTONES_MAX 10000
+
 /* One backend server.  Only the register writes its fields.  */
 struct cyc_instance
 {
@@ -114,9 +117,11 @@
 struct cyc_instances *cyc_register_instances (struct cyc_register *reg);
 struct cyc_entries *cyc_register_entries (struct cyc_register *reg);
 
-/* Removes servers that have been gone for CYC_TOMBSTONE_S, servers without an
-   announcement for INSTANCE_NS, and entry VMs without a report for ENTRY_NS.
-   Returns how many were removed.  */
+/* Removes servers that have been gone for CYC_TOMBSTONE_S or exceed
+   CYC_TOMBSTONES_MAX, servers without an announcement for INSTANCE_NS, and
+   entry VMs without a report for ENTRY_NS.  A server that was draining or
+   leaving counts as gone from then on, so that a late announcement of before
+   does not make it ready.  Returns how many were removed or are gone.  */
 unsigned cyc_register_expire (struct cyc_register *reg, cy_time_ns now,
                               cy_time_ns instance_ns, cy_time_ns entry_ns);
 
--- a/tests/hub/test_register.c
+++ b/tests/hub/test_register.c
@@ -7,6 +7,7 @@
 
 #include "core/cyc_register.h"
 #include "cy_test.h"
+#include "net/cyn_frame.h"
 
 struct announcement
 {
@@ -177,6 +178,78 @@
 }
 END_TEST
 
+/* Servers that depart and are silent then, and an announcement of before that
+   arrives LATE_S after the departure.  */
+static const struct
+{
+  char state; /* as in struct announcement */
+  int late_s;
+} late_rows[] = {
+  { 'g', 3 }, { 'g', 8 },  { 'g', 30 }, { 'd', 3 },  { 'd', 8 },
+  { 'd', 9 }, { 'd', 30 }, { 'l', 3 },  { 'l', 30 },
+};
+
+/* Guards against a departure that is dropped with its silent server before the
+   late announcements of that server have arrived.  */
+START_TEST (test_late)
+{
+  struct cyc_register *reg = cyc_register_create ();
+  struct announcement ready = { "a", 1, 10, 5, 'r', CYC_CHANGED };
+  struct announcement departure
+      = { "a", 1, 10, 7, late_rows[_i].state, CYC_CHANGED };
+  struct announcement late = { "a", 1, 10, 6, 'r', CYC_STALE };
+  struct announcement restarted = { "a", 1, 20, 1, 'r', CYC_CHANGED };
+  cy_time_ns now = CY_NS_PER_S;
+  announce (reg, &ready, now);
+  ck_assert_int_eq (announce (reg, &departure, now), CYC_CHANGED);
+  for (int i = 0; i < late_rows[_i].late_s; i++)
+    {
+      now += CY_NS_PER_S;
+      cyc_register_expire (reg, now, 8 * CY_NS_PER_S, CY_NS_PER_S);
+    }
+  announce (reg, &late, now);
+  const struct cyc_instance *held = cyc_register_find (reg, "a");
+  ck_assert_msg (held != NULL && cyc_instance_departs (held),
+                 "'%c', %d s late", late_rows[_i].state, late_rows[_i].late_s);
+  ck_assert_int_eq (announce (reg, &restarted, now), CYC_CHANGED);
+  held = cyc_register_find (reg, "a");
+  ck_assert (!cyc_instance_departs (held));
+  cyc_register_destroy (reg);
+}
+END_TEST
+
+/* Removed servers are bounded in number and in time, and fit into one message
+   to another control VM.  */
+START_TEST (test_tombstone_bounds)
+{
+  struct cyc_register *reg = cyc_register_create ();
+  cy_time_ns now = CY_NS_PER_S;
+  size_t packed_bytes = 0;
+  for (unsigned i = 0; i < CYC_TOMBSTONES_MAX + 50; i++)
+    {
+      char id[32];
+      g_snprintf (id, sizeof id, "server-%020u", i);
+      struct announcement leave = { id, 1, 10, 1, 'g', CYC_CHANGED };
+      announce (reg, &leave, now + i);
+      packed_bytes
+          += cy__instance__get_packed_size (cyc_register_find (reg, id)->info)
+             + 4;
+    }
+  ck_assert_uint_lt (packed_bytes, CYN_FRAME_PAYLOAD_MAX);
+  ck_assert_uint_eq (cyc_register_expire (reg, now + CY_NS_PER_S,
+                                          8 * CY_NS_PER_S, CY_NS_PER_S),
+                     50);
+  ck_assert_ptr_null (cyc_register_find (reg, "server-00000000000000000049"));
+  ck_assert_ptr_nonnull (
+      cyc_register_find (reg, "server-00000000000000000050"));
+  now += (CYC_TOMBSTONE_S + 1) * CY_NS_PER_S;
+  ck_assert_uint_eq (
+      cyc_register_expire (reg, now, 8 * CY_NS_PER_S, CY_NS_PER_S),
+      CYC_TOMBSTONES_MAX);
+  cyc_register_destroy (reg);
+}
+END_TEST
+
 START_TEST (test_entry_incarnations)
 {
   struct cyc_register *reg = cyc_register_create ();
@@ -268,6 +341,8 @@
   tcase_add_loop_test (all, test_order, 0, G_N_ELEMENTS (rows));
   tcase_add_loop_test (all, test_invalid_field, 0, G_N_ELEMENTS (candidates));
   tcase_add_test (all, test_expiry);
+  tcase_add_loop_test (all, test_late, 0, G_N_ELEMENTS (late_rows));
+  tcase_add_test (all, test_tombstone_bounds);
   tcase_add_test (all, test_entry_incarnations);
   suite_add_tcase (suite, all);
   return cy_test_run (suite);
