Leaves and drains of servers outlast a restart of all control VMs

Cause: the register of servers was in memory only. After the restart there was nothing to compare the late announcement with. The line "announcement 6: ready" of the restarted control VM shows it: the register had forgotten the server, the comparison was right.

A leave or drain is confirmed once it is, besides, on the disks of a majority of the voters and on more disks than may fail; the acknowledgement between control VMs tells how many changes are not on disk yet. A thread of its own writes, so a slow disk delays neither requests nor the log; a full or failed one is tried again. Every control VM that reaches a majority after a restart has read the leave or received it. A discarded folder keeps the file, which is no state of the member.

--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -2302,6 +2302,51 @@
   assert(message->base.descriptor == &cy__instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cy__departure__init
+                     (Cy__Departure         *message)
+{
+  static const Cy__Departure init_value = CY__DEPARTURE__INIT;
+  *message = init_value;
+}
+size_t cy__departure__get_packed_size
+                     (const Cy__Departure *message)
+{
+  assert(message->base.descriptor == &cy__departure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cy__departure__pack
+                     (const Cy__Departure *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cy__departure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cy__departure__pack_to_buffer
+                     (const Cy__Departure *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cy__departure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cy__Departure *
+       cy__departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cy__Departure *)
+     protobuf_c_message_unpack (&cy__departure__descriptor,
+                                allocator, len, data);
+}
+void   cy__departure__free_unpacked
+                     (Cy__Departure *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cy__departure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cy__server_notice__init
                      (Cy__ServerNotice         *message)
 {
@@ -8529,6 +8574,57 @@
   (ProtobufCMessageInit) cy__instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cy__departure__field_descriptors[2] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cy__Departure, instance),
+    &cy__instance__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unix_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cy__Departure, unix_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cy__departure__field_indices_by_name[] = {
+  0,   /* field[0] = instance */
+  1,   /* field[1] = unix_ms */
+};
+static const ProtobufCIntRange cy__departure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cy__departure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cy.Departure",
+  "Departure",
+  "Cy__Departure",
+  "cy",
+  sizeof(Cy__Departure),
+  2,
+  cy__departure__field_descriptors,
+  cy__departure__field_indices_by_name,
+  1,  cy__departure__number_ranges,
+  (ProtobufCMessageInit) cy__departure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cy__server_notice__field_descriptors[4] =
 {
   {
@@ -8864,7 +8960,7 @@
   (ProtobufCMessageInit) cy__control_vm__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__hub_sync__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cy__hub_sync__field_descriptors[20] =
 {
   {
     "self",
@@ -9094,6 +9190,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unstored",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cy__HubSync, unstored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__hub_sync__field_indices_by_name[] = {
   16,   /* field[16] = attached */
@@ -9114,12 +9222,13 @@
   2,   /* field[2] = sequence */
   12,   /* field[12] = slot_needs */
   13,   /* field[13] = token_needs */
+  19,   /* field[19] = unstored */
   10,   /* field[10] = wants_join */
 };
 static const ProtobufCIntRange cy__hub_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cy__hub_sync__descriptor =
 {
@@ -9129,7 +9238,7 @@
   "Cy__HubSync",
   "cy",
   sizeof(Cy__HubSync),
-  19,
+  20,
   cy__hub_sync__field_descriptors,
   cy__hub_sync__field_indices_by_name,
   1,  cy__hub_sync__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -66,6 +66,7 @@
 typedef struct Cy__RaftFounding Cy__RaftFounding;
 typedef struct Cy__RaftMessage Cy__RaftMessage;
 typedef struct Cy__Instance Cy__Instance;
+typedef struct Cy__Departure Cy__Departure;
 typedef struct Cy__ServerNotice Cy__ServerNotice;
 typedef struct Cy__EntryVm Cy__EntryVm;
 typedef struct Cy__ControlVm Cy__ControlVm;
@@ -1446,6 +1447,23 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A backend server that leaves or drains, in the journal of a control VM.
+ */
+struct  Cy__Departure
+{
+  ProtobufCMessage base;
+  Cy__Instance *instance;
+  /*
+   * time at which it was recorded
+   */
+  int64_t unix_ms;
+};
+#define CY__DEPARTURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cy__departure__descriptor) \
+    , NULL, 0 }
+
+
 /*
  * What a server reported to an entry VM in answers.
  */
@@ -1553,6 +1571,11 @@
    * Receiver's changes up to this number are applied.
    */
   uint64_t heard_sequence;
+  /*
+   * How many of the receiver's changes up to HEARD_SEQUENCE, the newest ones,
+   * report departures that may not be on the sender's disk yet.
+   */
+  uint64_t unstored;
   /*
    * Control VMs that the sender knows, from time to time.
    */
@@ -1599,7 +1622,7 @@
 };
 #define CY__HUB_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__hub_sync__descriptor) \
-    , NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -3068,6 +3091,25 @@
 void   cy__instance__free_unpacked
                      (Cy__Instance *message,
                       ProtobufCAllocator *allocator);
+/* Cy__Departure methods */
+void   cy__departure__init
+                     (Cy__Departure         *message);
+size_t cy__departure__get_packed_size
+                     (const Cy__Departure   *message);
+size_t cy__departure__pack
+                     (const Cy__Departure   *message,
+                      uint8_t             *out);
+size_t cy__departure__pack_to_buffer
+                     (const Cy__Departure   *message,
+                      ProtobufCBuffer     *buffer);
+Cy__Departure *
+       cy__departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cy__departure__free_unpacked
+                     (Cy__Departure *message,
+                      ProtobufCAllocator *allocator);
 /* Cy__ServerNotice methods */
 void   cy__server_notice__init
                      (Cy__ServerNotice         *message);
@@ -3622,6 +3664,9 @@
 typedef void (*Cy__Instance_Closure)
                  (const Cy__Instance *message,
                   void *closure_data);
+typedef void (*Cy__Departure_Closure)
+                 (const Cy__Departure *message,
+                  void *closure_data);
 typedef void (*Cy__ServerNotice_Closure)
                  (const Cy__ServerNotice *message,
                   void *closure_data);
@@ -3742,6 +3787,7 @@
 extern const ProtobufCMessageDescriptor cy__raft_founding__descriptor;
 extern const ProtobufCMessageDescriptor cy__raft_message__descriptor;
 extern const ProtobufCMessageDescriptor cy__instance__descriptor;
+extern const ProtobufCMessageDescriptor cy__departure__descriptor;
 extern const ProtobufCMessageDescriptor cy__server_notice__descriptor;
 extern const ProtobufCMessageDescriptor cy__entry_vm__descriptor;
 extern const ProtobufCMessageDescriptor cy__control_vm__descriptor;
--- a/scripts/lib/hubs.sh
+++ b/scripts/lib/hubs.sh
@@ -18,22 +18,37 @@
 
 fail () { echo "FAILED: $*"; failures=$((failures + 1)); }
 
+hubs_seeds=$net.1:$http,$net.2:$http,$net.3:$http
+hubs_map=a=r1,b=r1,c=r2
+
+# hubs_run_control NUMBER [FLAGS...]: starts control VM NUMBER, 1 to 3.
+hubs_run_control () {
+  local i=$1 zones=(- a b c) regions=(- r1 r1 r2)
+  shift
+  mkdir -p "$cluster_dir/hub$i"
+  cluster_run "hub$i" "$cluster_bin/cy-hub" --vm "hub$i" \
+    --zone "${zones[i]}" --region "${regions[i]}" --regions $hubs_map \
+    --host "$net.$i" --port "$peer" --control "$net.$i:$http" \
+    --seeds "$hubs_seeds" --data "$cluster_dir/hub$i" --spare-disks 1 \
+    --secret-file "$cluster_dir/secret" "${hubs_args[@]}" "$@"
+}
+
+# hubs_run_gate: starts the entry VM.
+hubs_run_gate () {
+  cluster_run gate "$cluster_bin/cy-gate" --vm gate --zone a --region r1 \
+    --regions $hubs_map --listen "$hubs_gate" --peer-port "$peer" \
+    --seeds "$hubs_seeds" --secret-file "$cluster_dir/secret" \
+    "${hubs_gate_args[@]}"
+}
+
 # hubs_start [FLAGS...]: starts all processes; FLAGS are those of the backend
 # server.
 hubs_start () {
-  local i zones=(- a b c) regions=(- r1 r1 r2) map=a=r1,b=r1,c=r2
-  local seeds=$net.1:$http,$net.2:$http,$net.3:$http
+  local i
   for i in 1 2 3; do
-    mkdir "$cluster_dir/hub$i"
-    cluster_run "hub$i" "$cluster_bin/cy-hub" --vm "hub$i" \
-      --zone "${zones[i]}" --region "${regions[i]}" --regions $map \
-      --host "$net.$i" --port "$peer" --control "$net.$i:$http" \
-      --seeds "$seeds" --found true --data "$cluster_dir/hub$i" \
-      --spare-disks 1 --secret-file "$cluster_dir/secret" "${hubs_args[@]}"
+    hubs_run_control $i --found true
   done
-  cluster_run gate "$cluster_bin/cy-gate" --vm gate --zone a --region r1 \
-    --regions $map --listen "$hubs_gate" --peer-port "$peer" \
-    --seeds "$seeds" --secret-file "$cluster_dir/secret" "${hubs_gate_args[@]}"
+  hubs_run_gate
   cluster_run backend "$cluster_bin/cy-backend" --service s --zone a \
     --host "$hubs_server" --port "$served" "$@"
   cluster_wait_ready hub1 hub2 hub3 gate backend || exit 1
@@ -63,18 +78,19 @@
   [ "$CODE" = 200 ]
 }
 
-# hubs_announcement INSTANCE PORT SLOTS SEQUENCE [INCARNATION]: prints an
-# announcement.
+# hubs_announcement INSTANCE PORT SLOTS SEQUENCE [INCARNATION [STATE]]: prints
+# an announcement.
 hubs_announcement () {
   echo "{\"instance\":\"$1\",\"service\":\"s\",\"zone\":\"a\",
     \"host\":\"$hubs_server\",\"port\":$2,\"slots\":$3,\"sequence\":$4,
-    \"born_unix_ms\":${5:-1000},\"state\":\"serving\"}"
+    \"born_unix_ms\":${5:-1000},\"state\":\"${6:-serving}\"}"
 }
 
-# hubs_announce BODY: sends an announcement; sets CODE.
+# hubs_announce BODY [NUMBER]: sends an announcement to control VM NUMBER, 2 if
+# not given; sets CODE.
 hubs_announce () {
   printf '%s' "$1" >"$cluster_dir/entry.json"
-  call POST "http://$net.2:$http/v1/announce" \
+  call POST "http://$net.${2:-2}:$http/v1/announce" \
     --data-binary "@$cluster_dir/entry.json"
 }
 
--- a/src/hub/cyc_announce.c
+++ b/src/hub/cyc_announce.c
@@ -2,7 +2,9 @@
    leaves is confirmed only after every reachable control VM has acknowledged
    it and these are a majority.  So every control VM that places requests for
    the server has received the announcement, or is isolated and gets no
-   requests any more.  */
+   requests any more.  It must also be on the disks of a majority of the voters
+   and on more disks than may fail: after a restart of all control VMs, each
+   one that is not isolated has read it or received it from another.  */
 
 #include <inttypes.h>
 
@@ -19,10 +21,28 @@
   void *context;
 };
 
-/* True when this VM reaches a majority and every reachable control VM has
-   acknowledged the register up to SEQUENCE.  */
+/* True when the departures in the register up to SEQUENCE are on enough disks
+   to outlast a restart of all control VMs.  */
 static bool
-is_acknowledged (const struct cyc_hub *hub, uint64_t sequence, cy_time_ns now)
+is_stored (struct cyc_hub *hub, uint64_t sequence)
+{
+  size_t needed
+      = MAX (cyc_log_majority (hub), (size_t)hub->options.spare_disks + 1);
+  const struct cyc_peer *peer = NULL;
+  size_t copies = cyc_log_is_voter (hub, hub->member)
+                  && cyc_departures_stored (hub) >= sequence;
+  CK_LIST_FOREACH (peer, &hub->peers, entry)
+  {
+    copies += peer->acked_stored >= sequence
+              && cyc_log_is_voter (hub, peer->member);
+  }
+  return copies >= needed;
+}
+
+/* True when this VM reaches a majority, every reachable control VM has
+   acknowledged the register up to SEQUENCE, and its departures are stored.  */
+static bool
+is_acknowledged (struct cyc_hub *hub, uint64_t sequence, cy_time_ns now)
 {
   const struct cyc_peer *peer = NULL;
   if (cyc_links_is_isolated (hub))
@@ -32,7 +52,7 @@
     if (cyc_peer_is_live (peer, now) && peer->acked_sequence < sequence)
       return false;
   }
-  return true;
+  return is_stored (hub, sequence);
 }
 
 void
--- a/src/hub/cyc_hub.c
+++ b/src/hub/cyc_hub.c
@@ -194,7 +194,10 @@
       hub->reg, now, CYC_INSTANCE_EXPIRY_MS * CY_NS_PER_MS,
       CYC_ENTRY_EXPIRY_MS * CY_NS_PER_MS);
   if (expired > 0)
-    cyc_dispatch_update_servers (hub);
+    {
+      cyc_departures_expire (hub);
+      cyc_dispatch_update_servers (hub);
+    }
   cyc_hub_update_serving (hub);
   hub->all_views_due = record_standing (hub);
   cyc_links_heartbeat (hub);
@@ -262,6 +265,8 @@
   cyc_lending_create (hub);
   cyc_retry_budget_create (hub);
   cy_result result = cyc_log_create (hub);
+  if (result == CY_OK)
+    result = cyc_departures_create (hub);
   if (result != CY_OK)
     goto fail;
   result = cyn_listener_create (options->loop, options->identity,
@@ -287,6 +292,7 @@
   if (hub == NULL)
     return;
   cyc_announce_destroy (hub);
+  cyc_departures_destroy (hub);
   cyc_log_destroy (hub);
   cyn_listener_destroy (hub->listener);
   if (hub->heartbeat_timer != NULL)
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -5,6 +5,7 @@
    cyc_links.c         connections among control VMs
    cyc_children.c      connections of entry VMs, and the views sent to them
    cyc_announce.c      announcements of backend servers
+   cyc_departures.c    backend servers that leave or drain, on the disk
    cyc_dispatch.c      placing of requests
    cyc_lending.c       slots and tokens that regions exchange
    cyc_retry_budget.c  exchange of request and retry counts among placers
@@ -20,6 +21,7 @@
 #include "control/cyx_replica.h"
 #include "core/cyc_register.h"
 #include "core/cyc_serving.h"
+#include "core/cyc_stored.h"
 #include "core/cyc_view_schedule.h"
 #include "core/cyi_send_schedule.h"
 #include "core/cym_loans.h"
@@ -87,7 +89,10 @@
   cy_time_ns added_at;        /* time at which the address became known */
   uint64_t epoch;             /* of the peer's register */
   uint64_t received_sequence; /* of the peer's register, applied here */
+  struct cyc_stored stored;   /* of RECEIVED_SEQUENCE, on the disk here */
   uint64_t acked_sequence;    /* of this register, applied by the peer */
+  uint64_t acked_stored;      /* of this register, the departures up to it are
+                                 on the peer's disk */
   bool ack_due;               /* the peer needs RECEIVED_SEQUENCE */
   bool isolated;              /* the peer reaches no majority */
   bool wants_join;            /* the peer is no member of the log yet */
@@ -163,6 +168,7 @@
   struct cyc_peers peers;
   struct cyc_children children;
   GQueue pending_announcements; /* struct cyc_pending_announcement * */
+  struct cyc_departures *departures;
 
   /* cyc_dispatch.c */
   struct cym_match *match;
@@ -208,6 +214,11 @@
 /* Discards the log of this VM, whose member was removed, and joins again as a
    new member.  Without effect while the disk cannot be written.  */
 void cyc_log_rejoin (struct cyc_hub *hub);
+/* Number of voters that are a majority.  */
+size_t cyc_log_majority (const struct cyc_hub *hub);
+
+/* True when MEMBER is a voter.  */
+bool cyc_log_is_voter (const struct cyc_hub *hub, uint64_t member);
 bool cyc_log_is_drained (const struct cyc_hub *hub, const char *zone);
 
 /* Returns the time at which the servers of ZONE are warm after the end of the
@@ -248,6 +259,30 @@
 struct cyc_child *cyc_children_find (struct cyc_hub *hub,
                                      const struct cyn_conn *conn);
 
+/* Tells each peer that the departures it sent are on the disk now, if it waits
+   for that.  */
+void cyc_links_confirm_stored (struct cyc_hub *hub);
+
+/* ---- cyc_departures.c */
+/* Reads the departures on the disk into the register.  The data folder must be
+   open.  CY_E_IO.  */
+cy_result cyc_departures_create (struct cyc_hub *hub);
+void cyc_departures_destroy (struct cyc_hub *hub);
+
+/* Drops the records of servers that the register no longer holds as leaving or
+   draining.  */
+void cyc_departures_expire (struct cyc_hub *hub);
+
+/* Applies to STORED that the register here holds all changes up to SEQUENCE of
+   the register that STORED follows.  Returns true when stored->sequence has
+   increased.  */
+bool cyc_departures_follow (struct cyc_hub *hub, struct cyc_stored *stored,
+                            uint64_t sequence);
+
+/* Returns the sequence of the register up to which its departures are on the
+   disk of this VM.  */
+uint64_t cyc_departures_stored (struct cyc_hub *hub);
+
 /* ---- cyc_announce.c */
 /* Ends the pending announcements that are acknowledged or timed out.  */
 void cyc_announce_complete_pending (struct cyc_hub *hub);
--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -235,8 +235,8 @@
   {
     bool was_sent = instance->sequence <= peer->sent_sequence;
     if (was_sent
-        || !(is_direct (instance->last_direct, now) || instance->info->gone
-             || instance->info->leaving))
+        || !(is_direct (instance->last_direct, now)
+             || cyc_instance_departs (instance)))
       continue;
     instance->info->age_ms
         = (uint32_t)((now - instance->last_received) / CY_NS_PER_MS);
@@ -357,6 +357,8 @@
     sync->self = unnamed;
   sync->heard_epoch = peer->epoch;
   sync->heard_sequence = peer->received_sequence;
+  cyc_departures_follow (hub, &peer->stored, peer->received_sequence);
+  sync->unstored = peer->received_sequence - peer->stored.sequence;
   envelope.body_case = CY__ENVELOPE__BODY_HUB_SYNC;
   envelope.hub_sync = sync;
   if (cyn_conn_send (peer->conn, &envelope) == CY_OK)
@@ -457,10 +459,19 @@
   peer->is_leader = sync->leads;
   peer->committed_count = sync->committed;
   if (peer->epoch != sync->epoch)
-    peer->acked_sequence = 0;
+    {
+      peer->acked_sequence = 0;
+      peer->acked_stored = 0;
+      peer->stored = (struct cyc_stored){ 0 };
+    }
   peer->epoch = sync->epoch;
   if (sync->heard_epoch == peer->hub->epoch)
-    peer->acked_sequence = MAX (peer->acked_sequence, sync->heard_sequence);
+    {
+      uint64_t unstored = MIN (sync->unstored, sync->heard_sequence);
+      peer->acked_sequence = MAX (peer->acked_sequence, sync->heard_sequence);
+      peer->acked_stored
+          = MAX (peer->acked_stored, sync->heard_sequence - unstored);
+    }
   if (!was_live)
     {
       cyu_log (G_LOG_LEVEL_INFO, "control VM %s at %s is reachable",
@@ -505,6 +516,7 @@
       cyc_hub_schedule_flush (hub);
     }
   peer->received_sequence = sync->sequence;
+  cyc_departures_follow (hub, &peer->stored, peer->received_sequence);
   for (size_t i = 0; i < sync->n_known; i++)
     get_peer (hub, sync->known[i]->host);
   if (sync->leads && !hub->serving.caught_up
@@ -522,6 +534,22 @@
   cyc_announce_complete_pending (hub);
 }
 
+void
+cyc_links_confirm_stored (struct cyc_hub *hub)
+{
+  struct cyc_peer *peer = NULL;
+  bool due = false;
+  CK_LIST_FOREACH (peer, &hub->peers, entry)
+  {
+    if (!cyc_departures_follow (hub, &peer->stored, peer->received_sequence))
+      continue;
+    peer->ack_due = true;
+    due = true;
+  }
+  if (due)
+    cyc_hub_schedule_flush (hub);
+}
+
 /* Removes control VMs that are no members and have sent nothing for
    CYC_PEER_EXPIRY_MS.  */
 void
--- a/src/hub/cyc_log.c
+++ b/src/hub/cyc_log.c
@@ -328,6 +328,26 @@
   hub->state_timer = NULL;
 }
 
+size_t
+cyc_log_majority (const struct cyc_hub *hub)
+{
+  const Cy__MemberSet *set = cyx_replica_members (hub->replica);
+  size_t voters = 0;
+  for (size_t i = 0; i < set->n_members; i++)
+    voters += set->members[i]->voter;
+  return voters / 2 + 1;
+}
+
+bool
+cyc_log_is_voter (const struct cyc_hub *hub, uint64_t member)
+{
+  const Cy__MemberSet *set = cyx_replica_members (hub->replica);
+  for (size_t i = 0; i < set->n_members; i++)
+    if (set->members[i]->id == member)
+      return set->members[i]->voter;
+  return false;
+}
+
 /* ------------------------------------------------------------ calls */
 
 /* Change that was proposed and is not committed yet.  */
@@ -367,11 +387,7 @@
 static bool
 has_enough_disks (const struct cyc_hub *hub)
 {
-  const Cy__MemberSet *set = cyx_replica_members (hub->replica);
-  size_t voters = 0;
-  for (size_t i = 0; i < set->n_members; i++)
-    voters += set->members[i]->voter;
-  return voters / 2 + 1 > hub->options.spare_disks;
+  return cyc_log_majority (hub) > hub->options.spare_disks;
 }
 
 static void
--- a/src/store/cyd_store.c
+++ b/src/store/cyd_store.c
@@ -64,6 +64,13 @@
   return result;
 }
 
+static bool
+survives_discard (const char *name)
+{
+  return strcmp (name, LOCK_NAME) == 0 || strcmp (name, CYD_DISCARD_NAME) == 0
+         || strcmp (name, CYD_DEPARTURES_NAME) == 0 || name[0] == '.';
+}
+
 /* Removes all files of a discarded folder.  The mark is the last of them: a
    folder that has lost only some of its files would not open.  */
 static cy_result
@@ -76,8 +83,7 @@
   char **names = files->list (files->context, store->path);
   for (char **name = names; name != NULL && *name != NULL && result == CY_OK;
        name++)
-    if (strcmp (*name, LOCK_NAME) != 0 && strcmp (*name, CYD_DISCARD_NAME) != 0
-        && (*name)[0] != '.')
+    if (!survives_discard (*name))
       result = cyd_file_unlink (files, store->path, *name);
   g_strfreev (names);
   if (result == CY_OK)
--- a/src/store/cyd_store.h
+++ b/src/store/cyd_store.h
@@ -10,7 +10,9 @@
      log-N       records from N on
      spare       the next file of the log, preallocated
      snapshot-N  state after record N
-     discard     the next opening removes all files, for another member  */
+     discard     the next opening removes all files, for another member
+     departures  journal of the backend servers that leave; no state of the
+                 member, so that a discarded folder keeps it  */
 
 #ifndef CYD_STORE_H
 #define CYD_STORE_H
@@ -25,6 +27,8 @@
 /* Bytes reserved for records that the cluster itself writes.  */
 #define CYD_RESERVE_BYTES (128u << 10)
 
+#define CYD_DEPARTURES_NAME "departures"
+
 struct cyd_store;
 struct cyd_snapshot;
 
