A leave without a start time counts after a restart of the control VMs

Callers' requests ran on a server whose leave had been confirmed, when the leave named no start time and reached control VMs that had restarted and did not know the server yet; a late announcement with a start time made it ready.

Cause: the leave was recorded with start time 0, so that every announcement passed for a later incarnation. The platform's leave has no start time.

Change: unless a server of that id is present, such a leave counts for all incarnations that have started up to now.

--- a/src/hub/cyc_announce.c
+++ b/src/hub/cyc_announce.c
@@ -102,6 +102,16 @@
            info->cold_ms > 0 ? ", cold" : "");
 }
 
+/* True when a server ID that is not gone is known.  A leave without a start
+   time counts for that one; otherwise, as after a restart of this VM, for all
+   incarnations that have started so far.  */
+static bool
+is_present (const struct cyc_hub *hub, const char *id)
+{
+  const struct cyc_instance *held = cyc_register_find (hub->reg, id);
+  return held != NULL && !held->info->gone;
+}
+
 void
 cyc_hub_announce (struct cyc_hub *hub, const Cy__Instance *info,
                   cyc_done_fn done, void *context)
@@ -113,11 +123,14 @@
       done (CY_E_ARGUMENT, context);
       return;
     }
+  Cy__Instance received = *info;
+  if (info->gone && info->born == 0 && !is_present (hub, info->id))
+    received.born = (uint64_t)cy_clock_unix_ms (hub->clock);
   enum cyc_register_effect effect
-      = cyc_register_instance (hub->reg, info, true, now);
+      = cyc_register_instance (hub->reg, &received, true, now);
   if (effect == CYC_CHANGED)
     {
-      log_change (info);
+      log_change (&received);
       cyc_dispatch_update_servers (hub);
       cyc_hub_schedule_flush (hub);
     }
