--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -509,14 +509,15 @@
     return;
   receive_self (peer, sync, now);
   receive_register (hub, sync, now);
-  if (sync->n_instances > 0 || sync->n_entries > 0)
+  peer->received_sequence = sync->sequence;
+  cyc_departures_follow (hub, &peer->stored, peer->received_sequence);
+  if ((sync->n_instances > 0 || sync->n_entries > 0) && !peer->stored.waits)
     {
-      /* An announcement at the peer may wait for this acknowledgement.  */
+      /* An announcement at the peer may wait for this acknowledgement.  That
+         of departures follows their write, or comes with the heartbeat.  */
       peer->ack_due = true;
       cyc_hub_schedule_flush (hub);
     }
-  peer->received_sequence = sync->sequence;
-  cyc_departures_follow (hub, &peer->stored, peer->received_sequence);
   for (size_t i = 0; i < sync->n_known; i++)
     get_peer (hub, sync->known[i]->host);
   if (sync->leads && !hub->serving.caught_up
