Declarations are deflated in the log

Change: the declaration is deflated as it is for entry VMs, and inflated when the record is applied. Records of older logs are read as before.

--- a/src/hub/cyc_log.c
+++ b/src/hub/cyc_log.c
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "base/cyu_log.h"
+#include "core/cyi_pack.h"
 #include "hub/cyc_internal.h"
 #include "store/cyd_identity.h"
 #include "store/cyd_store.h"
@@ -156,13 +157,33 @@
 
 /* ----------------------------------------------------------- state machine */
 
+/* Inflates the declaration of CHANGE, which is deflated in the log.  */
+static cy_result
+inflate_document (Cy__Change *change)
+{
+  for (size_t i = 0; i < change->n_objects; i++)
+    {
+      Cy__Object *object = change->objects[i];
+      Cy__Document *document = NULL;
+      if (object->body_case != CY__OBJECT__BODY_DOCUMENT
+          || object->document->packed.len == 0)
+        continue;
+      cy_result result = cyi_unpack (object->document, &document);
+      if (result != CY_OK)
+        return result;
+      cy__document__free_unpacked (object->document, NULL);
+      object->document = document;
+    }
+  return CY_OK;
+}
+
 static void
 machine_apply (uint64_t index, const uint8_t *data, size_t length,
                void *context)
 {
   struct cyc_hub *hub = context;
   Cy__Change *change = cy__change__unpack (NULL, length, data);
-  if (change == NULL)
+  if (change == NULL || inflate_document (change) != CY_OK)
     g_error ("log record %" PRIu64 " holds no change", index);
   uint64_t before = cys_state_version (hub->state);
   cys_state_apply (hub->state, change);
@@ -455,6 +476,7 @@
   Cy__Object object = CY__OBJECT__INIT;
   Cy__Object *objects[] = { &object };
   Cy__Document body = CY__DOCUMENT__INIT;
+  Cy__Document packed = CY__DOCUMENT__INIT;
   char *text = cyi_document_print (document);
   cy_result result = check_proposed (hub, text);
   if (result != CY_OK)
@@ -470,12 +492,15 @@
   body.digest = digest;
   object.key = (char *)CYS_DOCUMENT_KEY;
   object.body_case = CY__OBJECT__BODY_DOCUMENT;
-  object.document = &body;
+  /* An append of a large declaration would hold up the leader's heartbeats on
+     slow links for longer than the election timeout.  */
+  object.document = cyi_pack (&body, &packed) ? &packed : &body;
   change.action = (char *)"declare";
   change.number = document->number;
   change.n_objects = 1;
   change.objects = objects;
   propose_change (hub, &change, done, context);
+  cyi_pack_clear (&packed);
   free (text);
 }
 
