The thread of departures reports nothing once it is told to end

The address checker reported 64 bytes at the exit of a control VM: the report of the last write was posted to a loop that does not run any more.

left_after_restart.sh with programs under the address and undefined checkers: three processes with that report before, none after.

--- a/src/hub/cyc_departure_writer.c
+++ b/src/hub/cyc_departure_writer.c
@@ -143,10 +143,10 @@
           (int64_t)(cyd_journal_writes (writer->journal) - before));
       log_outcome (result, failed);
       failed = result != CY_OK;
-      if (!failed)
-        post_report (writer, ticket);
       if (stopping)
         return NULL;
+      if (!failed)
+        post_report (writer, ticket);
       GArray *changes = take_changes (writer, failed, &ticket, &stopping);
       apply_changes (writer->journal, changes);
       g_array_unref (changes);
