--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -273,9 +273,9 @@
    draining.  */
 void cyc_departures_expire (struct cyc_hub *hub);
 
-/* Applies to STORED that the register here holds all changes up to SEQUENCE of
-   the register that STORED follows.  Returns true when stored->sequence has
-   increased.  */
+/* Queues the departures that are new in the register here, then applies to
+   STORED that this register holds all changes up to SEQUENCE of the register
+   that STORED follows.  Returns true when stored->sequence has increased.  */
 bool cyc_departures_follow (struct cyc_hub *hub, struct cyc_stored *stored,
                             uint64_t sequence);
 
