--- a/tests/scripts/left_after_restart.sh
+++ b/tests/scripts/left_after_restart.sh
@@ -82,6 +82,10 @@
 hubs_run_gate
 restart_controls
 check_late "after a restart with the entry VM"
+for i in 1 2 3; do cluster_kill hub$i; done
+rm -rf "$cluster_dir/hub2" # as many disks as --spare-disks
+for i in 1 2 3; do hubs_run_control $i; done
+check_late "after a restart with a lost disk"
 
 # A later incarnation under the id of the server that left is used.
 before=$(arrivals left)
