test_early_answer: the server reads its verdict under the lock

scripts/sanitize.sh thread reported a race in 4 cases of the test program: the server's thread read whether the body was complete after it had released the lock, while the test reset it for the next round.

Change: the value is read under the lock; what is checked is the same.

--- a/tests/path/test_early_answer.c
+++ b/tests/path/test_early_answer.c
@@ -227,8 +227,9 @@
   else if (open)
     received.complete = read_part (stream, test->body);
   received.ended = true;
+  open = open && received.complete;
   pthread_mutex_unlock (&received.lock);
-  return open && received.complete;
+  return open;
 }
 
 static void *
