Entry VMs and placers record the limits that backend servers report

A backend server that is short of room reports in its answers how many requests a second it takes from all entry VMs together (Cy-Limit in our dialect). No process read it, so no log line told whether a server had a limit.

Change: entry VMs read the limit and report it with the end of a request and when they connect to another placer; the matcher of each region holds it for the incarnation, also before the register lists the server. Answers arrive in any order: a lower limit counts at once, a higher one or none only if the request was sent after the limit was last confirmed. Nothing obeys the limit yet.

--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -8651,7 +8651,7 @@
   (ProtobufCMessageInit) cy__departure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__server_notice__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cy__server_notice__field_descriptors[7] =
 {
   {
     "id",
@@ -8701,17 +8701,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limited",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__ServerNotice, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cy__ServerNotice, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cy__ServerNotice, limit_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__server_notice__field_indices_by_name[] = {
   1,   /* field[1] = born */
   0,   /* field[0] = id */
   2,   /* field[2] = leaving */
+  6,   /* field[6] = limit_age_ms */
+  5,   /* field[5] = limit_per_s */
+  4,   /* field[4] = limited */
   3,   /* field[3] = pause_ms */
 };
 static const ProtobufCIntRange cy__server_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cy__server_notice__descriptor =
 {
@@ -8721,7 +8760,7 @@
   "Cy__ServerNotice",
   "cy",
   sizeof(Cy__ServerNotice),
-  4,
+  7,
   cy__server_notice__field_descriptors,
   cy__server_notice__field_indices_by_name,
   1,  cy__server_notice__number_ranges,
@@ -10432,7 +10471,7 @@
   (ProtobufCMessageInit) cy__place_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__place_done__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cy__place_done__field_descriptors[12] =
 {
   {
     "number",
@@ -10554,12 +10593,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limited",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlaceDone, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlaceDone, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__place_done__field_indices_by_name[] = {
   2,   /* field[2] = answer_us */
   7,   /* field[7] = cold_ms */
   1,   /* field[1] = ending */
   8,   /* field[8] = leaving */
+  11,   /* field[11] = limit_per_s */
+  10,   /* field[10] = limited */
   3,   /* field[3] = loaded */
   0,   /* field[0] = number */
   9,   /* field[9] = pause_ms */
@@ -10570,7 +10635,7 @@
 static const ProtobufCIntRange cy__place_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cy__place_done__descriptor =
 {
@@ -10580,7 +10645,7 @@
   "Cy__PlaceDone",
   "cy",
   sizeof(Cy__PlaceDone),
-  10,
+  12,
   cy__place_done__field_descriptors,
   cy__place_done__field_indices_by_name,
   1,  cy__place_done__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -1488,10 +1488,22 @@
    * Time for which the server wants no request of the entry VM, 0: none.
    */
   uint32_t pause_ms;
+  /*
+   * LIMIT_PER_S and LIMIT_AGE_MS are valid
+   */
+  protobuf_c_boolean limited;
+  /*
+   * Requests that the server takes from all entry VMs together.
+   */
+  double limit_per_s;
+  /*
+   * time since an answer confirmed the limit
+   */
+  uint32_t limit_age_ms;
 };
 #define CY__SERVER_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__server_notice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -2005,10 +2017,18 @@
    * Time for which the server wants no request of the entry VM, 0: none.
    */
   uint32_t pause_ms;
+  /*
+   * LIMIT_PER_S is valid
+   */
+  protobuf_c_boolean limited;
+  /*
+   * Requests that the server takes from all entry VMs together.
+   */
+  double limit_per_s;
 };
 #define CY__PLACE_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__place_done__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/backend/cyk_serve.c
+++ b/src/backend/cyk_serve.c
@@ -219,6 +219,17 @@
   return g_string_free (body, FALSE);
 }
 
+static void
+add_limit (const struct cyk_serve *serve, struct MHD_Response *response)
+{
+  const struct cyk_options *options = &serve->options;
+  int64_t age_ms
+      = (cy_clock_now (cy_system_clock ()) - serve->started) / CY_NS_PER_MS;
+  if (options->limit[0] != '\0'
+      && (options->limit_ms == 0 || age_ms < options->limit_ms))
+    MHD_add_response_header (response, options->names->limit, options->limit);
+}
+
 /* Copies the request ID to the answer, and stamps it where the dialect wants
    that.  */
 static void
@@ -258,6 +269,7 @@
   MHD_add_response_header (response, "X-Content-Digest", digest);
   MHD_add_response_header (response, "Content-Type", "text/plain");
   add_request_id (run, response);
+  add_limit (run->serve, response);
   if (run->fault == CYK_LEAVING)
     MHD_add_response_header (response, run->serve->options.names->leaving,
                              "1");
@@ -284,6 +296,7 @@
   if (run->fault == CYK_PAUSE)
     MHD_add_response_header (response, names->pause, CYK_PAUSE_S);
   add_request_id (run, response);
+  add_limit (run->serve, response);
   enum MHD_Result result = MHD_queue_response (
       run->connection, MHD_HTTP_SERVICE_UNAVAILABLE, response);
   MHD_destroy_response (response);
--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -82,9 +82,12 @@
 struct cym_match
 {
   struct cym_options options;
-  GHashTable *services;             /* name to struct cym_service */
-  GHashTable *by_id;                /* id to the current struct cym_server */
-  GHashTable *workspaces;           /* name to struct cym_placement_stats */
+  GHashTable *services;   /* name to struct cym_service */
+  GHashTable *by_id;      /* id to the current struct cym_server */
+  GHashTable *workspaces; /* name to struct cym_placement_stats */
+  /* Limits of incarnations that are not in the register: "ID/INCARNATION" to
+     struct cym_limit.  */
+  GHashTable *parked_limits;
   struct cym_placement_stats total; /* all requests of the matcher */
   double share;                     /* usable part of the region, 0 to 1 */
   bool all_placers_known; /* the placers of all regions report their counts */
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -20,6 +20,20 @@
   g_free (stats);
 }
 
+static char *
+limit_key (const char *id, uint64_t incarnation)
+{
+  return g_strdup_printf ("%s/%" G_GUINT64_FORMAT, id, incarnation);
+}
+
+static void
+park_limit (struct cym_match *match, const char *id, uint64_t incarnation,
+            const struct cym_limit *limit)
+{
+  g_hash_table_replace (match->parked_limits, limit_key (id, incarnation),
+                        g_memdup2 (limit, sizeof *limit));
+}
+
 static void
 server_free (struct cym_server *server)
 {
@@ -56,6 +70,8 @@
   match->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   match->workspaces
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  match->parked_limits
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return match;
 }
 
@@ -67,6 +83,7 @@
   g_hash_table_destroy (match->by_id);
   g_hash_table_destroy (match->services);
   g_hash_table_destroy (match->workspaces);
+  g_hash_table_destroy (match->parked_limits);
   g_free (match);
 }
 
@@ -229,6 +246,7 @@
       = cym_affinity_lru_distance (server, request->affinity);
   request->affinity_hit = cym_is_cached (server, request->affinity);
   request->waited = now - request->arrived_at;
+  request->placed_at = now;
   request->route_stats->placements.placed += 1;
   match->total.placed += 1;
   request->workspace_stats->placed += 1;
@@ -346,12 +364,29 @@
   request->queued = false;
   request->remote_only = is_remote_only (match, request);
   request->server = server;
+  request->placed_at = 0;
   server->in_flight++;
   if (request->remote_only)
     cym_demand_count_remote_only (request, 1);
   return true;
 }
 
+/* Updates the limit of SERVER by the end of REQUEST.  Only a whole answer
+   shows that the server has no limit any more.  */
+static void
+record_limit (struct cym_server *server, const struct cym_request *request,
+              enum cym_outcome outcome, const struct cym_load *load,
+              cy_time_ns now)
+{
+  bool is_whole = outcome == CYM_ANSWERED || outcome == CYM_ERROR
+                  || outcome == CYM_NOT_RUN;
+  if (load->limited)
+    cym_limit_record (&server->limit, load->limit_per_s, request->placed_at,
+                      now);
+  else if (is_whole)
+    cym_limit_record (&server->limit, INFINITY, request->placed_at, now);
+}
+
 void
 cym_match_finish (struct cym_match *match, struct cym_request *request,
                   enum cym_outcome outcome, cy_time_ns answer_time,
@@ -370,6 +405,7 @@
   if (outcome == CYM_ANSWERED && answer_time > 0)
     cym_answer_time_record (server, request, answer_time, now);
   cym_load_record (server, request->entry_vm, load, now);
+  record_limit (server, request, outcome, load, now);
   serve_waiting (match, server, now);
 }
 
@@ -383,6 +419,29 @@
     cym_load_record (server, entry_vm, load, now);
 }
 
+bool
+cym_match_record_limit (struct cym_match *match, const char *id,
+                        uint64_t incarnation, double per_s, cy_time_ns sent_at,
+                        cy_time_ns received_at)
+{
+  struct cym_server *server = cym_match_find (match, id);
+  if (server != NULL && server->incarnation == incarnation)
+    return cym_limit_record (&server->limit, per_s, sent_at, received_at);
+  char *key = limit_key (id, incarnation);
+  struct cym_limit limit;
+  const struct cym_limit *parked
+      = g_hash_table_lookup (match->parked_limits, key);
+  g_free (key);
+  if (parked != NULL)
+    limit = *parked;
+  else
+    cym_limit_init (&limit);
+  bool has_changed = cym_limit_record (&limit, per_s, sent_at, received_at);
+  if (parked != NULL || cym_limit_is_set (&limit))
+    park_limit (match, id, incarnation, &limit);
+  return has_changed;
+}
+
 /* ------------------------------------------------------------ time */
 
 static struct cym_request *
@@ -526,6 +585,29 @@
   server->draining = true;
 }
 
+/* Gives SERVER the limit that is known of it.  */
+static void
+take_parked_limit (struct cym_match *match, struct cym_server *server)
+{
+  char *key = limit_key (server->id, server->incarnation);
+  const struct cym_limit *parked
+      = g_hash_table_lookup (match->parked_limits, key);
+  cym_limit_init (&server->limit);
+  if (parked != NULL)
+    server->limit = *parked;
+  g_hash_table_remove (match->parked_limits, key);
+  g_free (key);
+}
+
+static gboolean
+is_parked_for_long (gpointer key, gpointer value, gpointer context)
+{
+  const struct cym_limit *limit = value;
+  const cy_time_ns *now = context;
+  (void)key;
+  return *now - limit->confirmed_at > CYM_LIMIT_KEPT_S * CY_NS_PER_S;
+}
+
 static struct cym_server *
 add_server (struct cym_match *match, const struct cym_server_info *info,
             cy_time_ns now)
@@ -541,6 +623,7 @@
   server->slowdown = 1;
   server->slowdown_updated_at = now;
   server->cold_refilled_at = now;
+  take_parked_limit (match, server);
   server->local = strcmp (info->region, match->options.region) == 0;
   if (!server->local)
     server->remote_region
@@ -591,6 +674,8 @@
     if (g_hash_table_lookup (match->by_id, server->id) == server)
       g_hash_table_remove (match->by_id, server->id);
     CK_LIST_REMOVE (server, entry);
+    if (cym_limit_is_set (&server->limit))
+      park_limit (match, server->id, server->incarnation, &server->limit);
     server_free (server);
   }
 }
@@ -600,6 +685,7 @@
 {
   GHashTableIter iter;
   gpointer value;
+  g_hash_table_foreach_remove (match->parked_limits, is_parked_for_long, &now);
   g_hash_table_iter_init (&iter, match->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -645,6 +731,18 @@
   }
 }
 
+unsigned
+cym_match_count_limited (const struct cym_match *match)
+{
+  GHashTableIter iter;
+  gpointer value;
+  unsigned count = 0;
+  g_hash_table_iter_init (&iter, match->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += cym_limit_is_set (&((const struct cym_server *)value)->limit);
+  return count;
+}
+
 void
 cym_match_each_service (const struct cym_match *match, cym_service_fn each,
                         void *context)
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -23,6 +23,7 @@
 #include <sys/queue.h>
 
 #include "core/cy_clock.h"
+#include "core/cym_limit.h"
 #include "core/cym_retry_budget.h"
 #include "cy_result.h"
 
@@ -58,6 +59,8 @@
   bool leaving;     /* the incarnation is about to end */
   /* Time for which the server wants no request of the entry VM, 0: none.  */
   uint32_t pause_ms;
+  bool limited;       /* the answer carried a limit */
+  double limit_per_s; /* the limit, see struct cym_limit */
 };
 
 /* One server of the register.  Strings belong to the caller.  */
@@ -126,6 +129,8 @@
   double others_in_flight;
   cy_time_ns others_reported_at;
 
+  struct cym_limit limit;
+
   cy_time_ns cold_until; /* end of the cold start */
   /* Requests that may be placed now during the cold start.  Tokens arrive at
      the cold-start rate of the service.  */
@@ -212,6 +217,7 @@
   struct cym_route_stats *route_stats;
   struct cym_placement_stats *workspace_stats;
   cy_time_ns arrived_at; /* time of cym_match_place */
+  cy_time_ns placed_at;  /* time at which it got its server, 0: adopted */
   cy_time_ns wait_until; /* end of the wait for a slot */
   bool remote_only;      /* this matcher's region may not serve the request */
   /* The chosen server probably had the object cached.  */
@@ -308,6 +314,16 @@
                        uint64_t incarnation, uint64_t entry_vm,
                        const struct cym_load *load, cy_time_ns now);
 
+/* Records PER_S, INFINITY for none, as the limit of INCARNATION of server ID:
+   see cym_limit_record.  It is kept for the server when this matcher does not
+   have that incarnation yet.  Returns true when the limit has changed.  */
+bool cym_match_record_limit (struct cym_match *match, const char *id,
+                             uint64_t incarnation, double per_s,
+                             cy_time_ns sent_at, cy_time_ns received_at);
+
+/* Number of servers with a limit.  */
+unsigned cym_match_count_limited (const struct cym_match *match);
+
 /* Gives free slots to waiting requests and ends the waits that are over.  The
    caller calls it at the time that cym_match_next_tick returns.  */
 void cym_match_tick (struct cym_match *match, cy_time_ns now);
--- a/src/core/cym_notices.c
+++ b/src/core/cym_notices.c
@@ -37,14 +37,24 @@
   g_free (notices);
 }
 
+/* True when SERVER wants no request of this VM at NOW.  */
 static bool
-is_in_force (const struct noted_server *server, cy_time_ns now)
+forbids_requests (const struct noted_server *server, cy_time_ns now)
 {
   cy_time_ns age = now - server->recorded_at;
   return server->notice.paused_until > now
          || (server->notice.leaving && age < CYM_LEAVING_KEPT_S * CY_NS_PER_S);
 }
 
+static bool
+is_in_force (const struct noted_server *server, cy_time_ns now)
+{
+  const struct cym_limit *limit = &server->notice.limit;
+  return forbids_requests (server, now)
+         || (cym_limit_is_set (limit)
+             && now - limit->confirmed_at < CYM_LIMIT_KEPT_S * CY_NS_PER_S);
+}
+
 static void
 prune (struct cym_notices *notices, cy_time_ns now)
 {
@@ -59,6 +69,25 @@
       g_hash_table_iter_remove (&iter);
 }
 
+/* Returns the entry of INCARNATION of server ID, which is created if there is
+   none; NULL when a later incarnation is known.  */
+static struct noted_server *
+get_or_add (struct cym_notices *notices, const char *id, uint64_t incarnation,
+            cy_time_ns now)
+{
+  prune (notices, now);
+  struct noted_server *server = g_hash_table_lookup (notices->servers, id);
+  if (server != NULL && incarnation < server->incarnation)
+    return NULL;
+  if (server != NULL && incarnation == server->incarnation)
+    return server;
+  server = g_new0 (struct noted_server, 1);
+  server->incarnation = incarnation;
+  cym_limit_init (&server->notice.limit);
+  g_hash_table_replace (notices->servers, g_strdup (id), server);
+  return server;
+}
+
 enum cym_notice_change
 cym_notices_record (struct cym_notices *notices, const char *id,
                     uint64_t incarnation, const struct cym_load *load,
@@ -66,16 +95,9 @@
 {
   if (!load->leaving && load->pause_ms == 0)
     return CYM_NOTICE_UNCHANGED;
-  prune (notices, now);
-  struct noted_server *server = g_hash_table_lookup (notices->servers, id);
-  if (server != NULL && incarnation < server->incarnation)
+  struct noted_server *server = get_or_add (notices, id, incarnation, now);
+  if (server == NULL)
     return CYM_NOTICE_UNCHANGED;
-  if (server == NULL || incarnation > server->incarnation)
-    {
-      server = g_new0 (struct noted_server, 1);
-      server->incarnation = incarnation;
-      g_hash_table_replace (notices->servers, g_strdup (id), server);
-    }
   bool was_leaving = server->notice.leaving;
   cy_time_ns until
       = now + MIN (load->pause_ms, CYM_PAUSE_MAX_MS) * CY_NS_PER_MS;
@@ -89,6 +111,20 @@
   return is_longer ? CYM_NOTICE_PAUSED : CYM_NOTICE_UNCHANGED;
 }
 
+bool
+cym_notices_record_limit (struct cym_notices *notices, const char *id,
+                          uint64_t incarnation, double per_s,
+                          cy_time_ns sent_at, cy_time_ns received_at)
+{
+  if (isinf (per_s) && g_hash_table_lookup (notices->servers, id) == NULL)
+    return false;
+  struct noted_server *server
+      = get_or_add (notices, id, incarnation, received_at);
+  return server != NULL
+         && cym_limit_record (&server->notice.limit, per_s, sent_at,
+                              received_at);
+}
+
 struct cym_notice
 cym_notices_get (const struct cym_notices *notices, const char *id,
                  uint64_t incarnation)
@@ -96,7 +132,7 @@
   const struct noted_server *server
       = g_hash_table_lookup (notices->servers, id);
   if (server == NULL || server->incarnation != incarnation)
-    return (struct cym_notice){ 0 };
+    return (struct cym_notice){ .limit.per_s = INFINITY };
   return server->notice;
 }
 
@@ -107,7 +143,7 @@
   const struct noted_server *server
       = g_hash_table_lookup (notices->servers, id);
   return server == NULL || server->incarnation != incarnation
-         || !is_in_force (server, now);
+         || !forbids_requests (server, now);
 }
 
 void
--- a/src/core/cym_notices.h
+++ b/src/core/cym_notices.h
@@ -24,6 +24,7 @@
 {
   bool leaving;
   cy_time_ns paused_until; /* 0: no pause */
+  struct cym_limit limit;
 };
 
 struct cym_notices;
@@ -48,11 +49,19 @@
                                            const struct cym_load *load,
                                            cy_time_ns now);
 
-/* Returns the notice of INCARNATION of server ID, zeros if there is none.  */
+/* Records the limit PER_S, INFINITY for none, that INCARNATION of server ID
+   reported: see cym_limit_record.  Returns true when the limit has changed. */
+bool cym_notices_record_limit (struct cym_notices *notices, const char *id,
+                               uint64_t incarnation, double per_s,
+                               cy_time_ns sent_at, cy_time_ns received_at);
+
+/* Returns the notice of INCARNATION of server ID, an empty one if there is
+   none.  */
 struct cym_notice cym_notices_get (const struct cym_notices *notices,
                                    const char *id, uint64_t incarnation);
 
-/* False when a notice of INCARNATION of server ID forbids a request at NOW. */
+/* False when a notice of INCARNATION of server ID forbids any request at NOW.
+   Limits are kept by the placer.  */
 bool cym_notices_allow (const struct cym_notices *notices, const char *id,
                         uint64_t incarnation, cy_time_ns now);
 
--- a/src/entry/cye_classify.c
+++ b/src/entry/cye_classify.c
@@ -41,7 +41,24 @@
              request->ticket.instance, "header", name, "value", value);
 }
 
-/* Reads whether the server leaves and for how long it wants no request.  */
+/* Reads how many requests per second the server takes from all entry VMs.  */
+static void
+read_limit (const struct cye_request *request,
+            const struct cye_answer_head *head, struct cym_load *out)
+{
+  const char *name = request->shared->names->limit;
+  const char *limit = cye_answer_header (head, name);
+  if (limit == NULL)
+    return;
+  out->limited = cym_limit_parse (limit, &out->limit_per_s);
+  if (out->limited)
+    count_notice ("limit");
+  else
+    ignore_notice (request, name, limit);
+}
+
+/* Reads what the server asks for: whether it leaves, for how long it wants no
+   request, and how many it takes.  */
 static void
 read_notices (const struct cye_request *request,
               const struct cye_answer_head *head, struct cym_load *out)
@@ -54,6 +71,7 @@
     count_notice ("leaving");
   else if (leaving != NULL)
     ignore_notice (request, names->leaving, leaving);
+  read_limit (request, head, out);
   if (head->status != 503 || pause == NULL)
     return;
   if (cym_pause_parse (pause, &out->pause_ms))
--- a/src/entry/cye_hub.h
+++ b/src/entry/cye_hub.h
@@ -122,9 +122,10 @@
    request waits.  Any other result is a refusal.  */
 cy_result cye_hub_acquire (struct cye_hub *hub, struct cye_place *place);
 
-/* Records what the backend server of PLACE reported with an answer.  */
+/* Records what the backend server of PLACE reported with the answer to a
+   request that was sent at SENT_AT.  */
 void cye_hub_notice (struct cye_hub *hub, const struct cye_place *place,
-                     const struct cym_load *load);
+                     const struct cym_load *load, cy_time_ns sent_at);
 
 /* False when the backend server of PLACE takes no further request.  */
 bool cye_hub_may_send (const struct cye_hub *hub,
--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -3,6 +3,7 @@
 
 #include <inttypes.h>
 #include <jansson.h>
+#include <math.h>
 #include <string.h>
 
 #include "base/cyu_log.h"
@@ -15,11 +16,35 @@
 
 /* ------------------------------------------------------------ notices */
 
+/* Records the limit in the answer to a request of PLACE that was sent at
+   SENT_AT.  */
+static void
+record_limit (struct cye_hub *hub, const struct cye_place *place,
+              const struct cym_load *load, cy_time_ns sent_at)
+{
+  cy_time_ns now = cye_hub_now (hub);
+  double per_s = load->limited ? load->limit_per_s : INFINITY;
+  if (!cym_notices_record_limit (hub->notices, place->instance,
+                                 place->incarnation, per_s, sent_at, now))
+    return;
+  cym_match_record_limit (hub->match, place->instance, place->incarnation,
+                          per_s, sent_at, now);
+  if (load->limited)
+    cyu_event (CYU_CHANGE, "server_limited", "{ss sI sf ss?}", "instance",
+               place->instance, "born", (json_int_t)place->incarnation,
+               "per_s", per_s, "request", place->request_id);
+  else
+    cyu_event (CYU_CHANGE, "server_unlimited", "{ss sI ss?}", "instance",
+               place->instance, "born", (json_int_t)place->incarnation,
+               "request", place->request_id);
+}
+
 void
 cye_hub_notice (struct cye_hub *hub, const struct cye_place *place,
-                const struct cym_load *load)
+                const struct cym_load *load, cy_time_ns sent_at)
 {
   cy_time_ns now = cye_hub_now (hub);
+  record_limit (hub, place, load, sent_at);
   switch (cym_notices_record (hub->notices, place->instance,
                               place->incarnation, load, now))
     {
@@ -66,6 +91,13 @@
   copy->leaving = notice->leaving;
   copy->pause_ms
       = (uint32_t)(MAX (notice->paused_until - list->now, 0) / CY_NS_PER_MS);
+  copy->limited = cym_limit_is_set (&notice->limit);
+  if (copy->limited)
+    {
+      copy->limit_per_s = notice->limit.per_s;
+      copy->limit_age_ms = (uint32_t)((list->now - notice->limit.confirmed_at)
+                                      / CY_NS_PER_MS);
+    }
   g_ptr_array_add (list->notices, copy);
 }
 
@@ -237,6 +269,8 @@
       done.cold_ms = load->cold_ms;
       done.leaving = load->leaving;
       done.pause_ms = load->pause_ms;
+      done.limited = load->limited;
+      done.limit_per_s = load->limit_per_s;
     }
   envelope.body_case = CY__ENVELOPE__BODY_PLACE_DONE;
   envelope.place_done = &done;
--- a/src/entry/cye_names.c
+++ b/src/entry/cye_names.c
@@ -16,6 +16,7 @@
   .cold = "Cy-Cold-Ms",
   .leaving = "Cy-Leaving",
   .pause = "Retry-After",
+  .limit = "Cy-Limit",
   .reserved_prefix = "Cy-",
   .refuses_misplaced_keys = true,
   .fractional_retry_after = false,
--- a/src/entry/cye_names.h
+++ b/src/entry/cye_names.h
@@ -27,6 +27,7 @@
   const char *leaving; /* 1: the server is about to end */
   /* With status 503: s for which the server wants no request of this VM.  */
   const char *pause;
+  const char *limit; /* requests/s that the server takes from all entry VMs */
 
   /* Headers of callers and answers with this prefix are dropped, NULL: only
      the headers above.  */
--- a/src/entry/cye_place.c
+++ b/src/entry/cye_place.c
@@ -115,16 +115,18 @@
 cye_place_notice (struct cye_request *request)
 {
   const struct cym_load *load = &request->load;
-  if (!request->has_slot || (!load->leaving && load->pause_ms == 0))
+  if (!request->has_slot)
     return;
   switch (request->shared->layout)
     {
     case CYE_TREE:
-      cye_slots_notice (request->shared->slots, &request->ticket,
-                        load->leaving, load->pause_ms);
+      if (load->leaving || load->pause_ms > 0)
+        cye_slots_notice (request->shared->slots, &request->ticket,
+                          load->leaving, load->pause_ms);
       break;
     case CYE_HUB:
-      cye_hub_notice (request->shared->hub, &request->place, load);
+      cye_hub_notice (request->shared->hub, &request->place, load,
+                      cye_call_sent_at (request->call));
       break;
     }
 }
