The limit that a backend server reports holds over all entry VMs

Cause: nothing read the limit, and the placer counted only slots: a server whose answers come fast gets more requests the faster it answers. The class: a request of a server that no process enforces for all entry VMs.

Change: the matcher of the region places at a server no faster than the limit, with a bucket that starts empty. Regions use the limit in proportion to the slots that they have there: the lender what it has not lent, a borrower what it borrowed, an entry VM that places by itself its share of the region; so the sum is the limit, whoever places. Servers without a limit lend first. Estimates of the wait, Retry-After and the demand for slots elsewhere count what limits allow, so a request without room goes to another server or region or is refused at once. Waiting requests get what a limit allows before new ones do. A server whose limit is below 0.1 a second still gets a request each 10 s, or nobody would see the limit end.

Why it works: requests reach a server only through a matcher.

--- a/src/core/cym_choose.c
+++ b/src/core/cym_choose.c
@@ -128,6 +128,16 @@
   return server->cold_tokens >= 1;
 }
 
+double
+cym_limit_share (const struct cym_match *match,
+                 const struct cym_server *server)
+{
+  double slots = fmax (server->slots, 1);
+  return server->local
+             ? match->share * (1 - fmin (server->lent_out / slots, 1))
+             : fmin (server->borrowed / slots, 1);
+}
+
 bool
 cym_is_region_allowed (const struct cym_server *server,
                        const struct cym_request *request)
@@ -155,7 +165,9 @@
          && cym_pause_left (server, request->entry_vm, now) == 0
          && (server->local
              || cym_spillover_is_allowed (match, request, server, now))
-         && has_cold_token (match, server, now);
+         && has_cold_token (match, server, now)
+         && cym_limit_allows (&server->limit, cym_limit_share (match, server),
+                              now);
 }
 
 double
@@ -166,7 +178,15 @@
   double service_time_ns = server->service_time_ns > 0
                                ? server->service_time_ns
                                : server->service->service_time_ns;
-  return (server->affinity_waiting + 1) * service_time_ns / capacity;
+  double ahead = server->affinity_waiting + 1;
+  double wait_ns = ahead * service_time_ns / capacity;
+  if (!cym_limit_is_set (&server->limit))
+    return wait_ns;
+  double rate_per_s
+      = cym_limit_rate (&server->limit, cym_limit_share (match, server));
+  double limit_wait_ns
+      = fmax (ahead - server->limit.tokens, 0) * CY_NS_PER_S / rate_per_s;
+  return fmax (wait_ns, limit_wait_ns);
 }
 
 /* ------------------------------------------------------------ choice */
--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -151,6 +151,12 @@
 double cym_capacity (const struct cym_match *match,
                      const struct cym_server *server, cy_time_ns now);
 
+/* Share of the limit of SERVER that this matcher may use, 0 to 1: in
+   proportion to the slots that it has there, so that the shares of all
+   regions add up to 1.  */
+double cym_limit_share (const struct cym_match *match,
+                        const struct cym_server *server);
+
 /* Expected time in ns until SERVER, whose slots are occupied, has a slot for
    one more request that waits for this server.  */
 double cym_expected_wait_ns (const struct cym_match *match,
--- a/src/core/cym_limit.h
+++ b/src/core/cym_limit.h
@@ -16,6 +16,10 @@
    at a matcher that does not have the server in its register, s.  */
 #define CYM_LIMIT_KEPT_S 60
 
+/* Rate at which a server gets requests whose limit is lower, requests/s: an
+   answer has to show when it ends.  */
+#define CYM_LIMIT_PROBE_PER_S 0.1
+
 /* Limit of one incarnation of a server.  */
 struct cym_limit
 {
@@ -25,6 +29,8 @@
   /* Time of sending of the request with which the limit was last raised or
      lifted, 0: never.  */
   cy_time_ns raised_for;
+  double tokens;          /* requests that may be placed now */
+  cy_time_ns refilled_at; /* time up to which tokens were added */
 };
 
 /* Parses the value of the header, requests per second with an optional
@@ -45,4 +51,13 @@
 /* True when LIMIT is a limit.  */
 bool cym_limit_is_set (const struct cym_limit *limit);
 
+/* Requests per second that a matcher with SHARE of LIMIT may place.  */
+double cym_limit_rate (const struct cym_limit *limit, double share);
+
+/* True when a matcher with SHARE of LIMIT may place a request at NOW.  */
+bool cym_limit_allows (struct cym_limit *limit, double share, cy_time_ns now);
+
+/* Counts a request that was placed.  */
+void cym_limit_take (struct cym_limit *limit);
+
 #endif /* CYM_LIMIT_H */
--- a/src/core/cym_loans.c
+++ b/src/core/cym_loans.c
@@ -87,7 +87,8 @@
     server->lent_out -= MIN (server->lent_out, slots);
 }
 
-/* Removes the loans of servers that can no longer lend.  */
+/* Removes the loans of servers that can no longer lend, and of those with a
+   limit, which lend only if no other server does.  */
 static void
 remove_invalid (struct cym_loans *loans, cy_time_ns now)
 {
@@ -99,7 +100,8 @@
       const struct cym_loan *loan = value;
       struct cym_server *server = lending_server (loans, loan);
       if (server != NULL && server->listed && !server->draining
-          && server->ejected_until <= now)
+          && server->ejected_until <= now
+          && !cym_limit_is_set (&server->limit))
         continue;
       return_slots (server, loan->slots);
       g_hash_table_iter_remove (&iter);
@@ -130,9 +132,21 @@
   return sum;
 }
 
-/* Chooses a local server that can lend one more slot: the server with the
-   fewest lent slots, of several the fastest.  Each server keeps one slot. NULL
-   if no server can lend.  */
+/* True when SERVER lends its next slot rather than OTHER: a server without a
+   limit goes first, then the one with fewer lent slots, then the faster.  */
+static bool
+lends_before (const struct cym_server *server, const struct cym_server *other)
+{
+  bool is_limited = cym_limit_is_set (&server->limit);
+  if (is_limited != cym_limit_is_set (&other->limit))
+    return !is_limited;
+  if (server->lent_out != other->lent_out)
+    return server->lent_out < other->lent_out;
+  return server->slowdown < other->slowdown;
+}
+
+/* Chooses a local server that can lend one more slot.  Each server keeps one
+   slot.  NULL if no server can lend.  */
 static struct cym_server *
 choose_lender (const struct cym_loans *loans, const char *service,
                cy_time_ns now)
@@ -146,9 +160,7 @@
                       && server->ejected_until <= now && server->slowdown < 2;
     if (!is_healthy || server->lent_out + 1 >= server->slots)
       continue;
-    if (best == NULL || server->lent_out < best->lent_out
-        || (server->lent_out == best->lent_out
-            && server->slowdown < best->slowdown))
+    if (best == NULL || lends_before (server, best))
       best = server;
   }
   return best;
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -231,6 +231,8 @@
     return refuse_no_token (match, request, now);
   if (server->cold_until > now)
     server->cold_tokens -= 1;
+  if (cym_limit_is_set (&server->limit))
+    cym_limit_take (&server->limit);
   server->in_flight++;
   if (request->remote_only)
     cym_demand_count_remote_only (request, 1);
@@ -269,6 +271,24 @@
     }
 }
 
+/* Gives waiting requests what the limits of servers allow since the latest
+   check, so that a new request does not get it first.  */
+static void
+serve_limited_servers (struct cym_match *match, struct cym_service *service,
+                       cy_time_ns now)
+{
+  struct cym_server *server = NULL;
+  CK_LIST_FOREACH (server, &service->servers, entry)
+  {
+    if (service->waiting_count == 0)
+      return;
+    if (cym_limit_is_set (&server->limit)
+        && cym_limit_allows (&server->limit, cym_limit_share (match, server),
+                             now))
+      serve_waiting (match, server, now);
+  }
+}
+
 /* True when the local region is not allowed to serve REQUEST.  */
 static bool
 is_remote_only (const struct cym_match *match,
@@ -329,6 +349,7 @@
                                     request->workspace_stats->waiting, now))
     return refuse_no_token (match, request, now);
   record_offered (match, request, now);
+  serve_limited_servers (match, service, now);
   struct cym_server *server = cym_choose_server (match, request, true, now);
   cy_result queue_result = CY_E_NO_ROOM;
   if (cym_queue_for_preferred (match, request, server, now))
@@ -756,6 +777,19 @@
 
 /* ------------------------------------------------------------ lending */
 
+/* Slots of SERVER that its limit lets requests occupy.  */
+static double
+usable_slots (const struct cym_server *server)
+{
+  double service_time_ns = server->service_time_ns > 0
+                               ? server->service_time_ns
+                               : server->service->service_time_ns;
+  if (!cym_limit_is_set (&server->limit) || service_time_ns <= 0)
+    return server->slots;
+  return fmin (server->slots, cym_limit_rate (&server->limit, 1)
+                                  * service_time_ns / (double)CY_NS_PER_S);
+}
+
 void
 cym_match_get_demand (struct cym_match *match, const char *name,
                       cy_time_ns now, struct cym_demand *demand)
@@ -770,7 +804,7 @@
   {
     if (server->local && cym_is_usable (server, now)
         && server->cold_until <= now)
-      demand->local_slots += server->slots;
+      demand->local_slots += usable_slots (server);
   }
   demand->wanted_slots
       = service->busy_slots + service->refused_slots + service->waiting_count;
--- a/src/core/cym_queue.c
+++ b/src/core/cym_queue.c
@@ -161,9 +161,10 @@
 /* Servers that may serve one request.  */
 struct candidates
 {
-  double rate_per_s;  /* requests that the unpaused ones can finish */
-  double shortest_ns; /* shortest expected answer time, INFINITY if no server
-                         takes the request */
+  double rate_per_s;    /* requests that the unpaused ones can finish */
+  double limited_per_s; /* part of rate_per_s that limits of servers set */
+  double shortest_ns;   /* shortest expected answer time, INFINITY if no server
+                           takes the request */
   /* Until the first pause ends, if all of them are paused; 0 otherwise.  */
   cy_time_ns pause_left;
 };
@@ -196,6 +197,13 @@
                                    / service_time_ns;
     if (server->cold_until > now && service->cold_per_s > 0)
       server_rate = fmin (server_rate, service->cold_per_s * match->share);
+    double limit_rate
+        = cym_limit_rate (&server->limit, cym_limit_share (match, server));
+    if (limit_rate < server_rate)
+      {
+        server_rate = limit_rate;
+        all.limited_per_s += server_rate;
+      }
     all.rate_per_s += server_rate;
   }
   if (all.pause_left == INT64_MAX)
@@ -286,9 +294,14 @@
   if (service->waiting_count >= WAITING_MAX_COUNT)
     return CY_E_QUEUE_FULL;
   unsigned ahead = count_ahead (match, service, request, all.shortest_ns, now);
+  /* A slot becomes free at any time, half an interval away on average; limits
+     let a request pass at the end of an interval.  */
+  double intervals = ahead + 0.5;
+  if (all.rate_per_s > 0)
+    intervals += 0.5 * all.limited_per_s / all.rate_per_s;
   double wait_ns = all.rate_per_s <= 0
                        ? (double)all.pause_left
-                       : (ahead + 0.5) * (double)CY_NS_PER_S / all.rate_per_s;
+                       : intervals * (double)CY_NS_PER_S / all.rate_per_s;
   if (wait_ns * WAIT_MARGIN_FACTOR > wait_max_ns)
     return CY_E_NO_ROOM;
   enqueue (request, NULL, now + (cy_time_ns)wait_max_ns);
--- a/tests/match/match_world.h
+++ b/tests/match/match_world.h
@@ -57,6 +57,8 @@
   GQueue running;                   /* struct sim_call, first end first */
   double slowdown[SIM_SERVERS_MAX]; /* factor of the time at server I, 0: 1 */
   bool down[SIM_SERVERS_MAX];       /* server I does not accept connections */
+  bool limited[SIM_SERVERS_MAX];    /* server I reports a limit */
+  double limits[SIM_SERVERS_MAX];   /* requests/s that it reports */
   unsigned max_in_flight; /* most requests that one server ran at once */
   unsigned refused_tokens;
 };
@@ -269,7 +271,9 @@
 static void
 sim_finish_call (struct sim_call *call)
 {
-  struct cym_load load = { 0 };
+  unsigned index = (unsigned)atoi (call->request.server->id + 1);
+  struct cym_load load
+      = { .limited = sim.limited[index], .limit_per_s = sim.limits[index] };
   struct request_counts *counts = counts_of (call);
   cy_time_ns answer_time
       = call->outcome == CYM_ANSWERED ? call->ends_at - call->sent_at : 0;
--- a/tests/match/test_limit.c
+++ b/tests/match/test_limit.c
@@ -196,6 +196,179 @@
 }
 END_TEST
 
+/* ------------------------------------------------------------ placing */
+
+/* Load of 60 requests/s of 50 ms.  */
+static const struct workload busy
+    = { "r", "w", 60, 50, 50, 0, 300, 1000, 1, NULL };
+
+#define WINDOW_S          4
+#define STEP_MS           50
+#define STEPS_IN(seconds) ((int)((seconds)*1000 / STEP_MS))
+
+/* Requests that have been placed at server ID.  */
+static uint64_t
+placed_at (const char *id)
+{
+  const struct cym_server *server = cym_match_find (sim.match, id);
+  return server->finished_count + server->in_flight;
+}
+
+/* Runs BUSY for SECONDS s.  Returns the most requests that server ID got in
+   WINDOW_S s, from the end of the first second on.  */
+static uint64_t
+most_in_window (const char *id, int seconds)
+{
+  GArray *counts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  uint64_t most = 0;
+  sim_run (&busy, 1, 1000);
+  for (int i = 0; i <= STEPS_IN (seconds); i++)
+    {
+      uint64_t count = placed_at (id);
+      g_array_append_val (counts, count);
+      int from = MAX (i - STEPS_IN (WINDOW_S), 0);
+      most = MAX (most, count - g_array_index (counts, uint64_t, from));
+      sim_run (&busy, 1, STEP_MS);
+    }
+  g_array_free (counts, TRUE);
+  return most;
+}
+
+/* The rule for one of SHARES matchers that use a limit together.  */
+static uint64_t
+allowed (double per_s, double share)
+{
+  return (uint64_t)((per_s * WINDOW_S * 1.5 + 5) * share);
+}
+
+static const struct
+{
+  const char *pattern;
+  double per_s;
+  double share;      /* of the region, of this matcher */
+  uint32_t lent_out; /* of the 4 slots of the server */
+  double used;       /* share of the limit that is used at least */
+} rates[] = {
+  { "a limit of a few a second", 3, 1, 0, 0.9 },
+  { "a fraction", 6.4, 1, 0, 0.9 },
+  { "below one a second", 0.5, 1, 0, 0.9 },
+  { "above the load", 500, 1, 0, 0 },
+  { "none at all", 0, 1, 0, 0 },
+  { "half of the region", 6, 0.5, 0, 0.4 },
+  { "half of the slots are lent", 6, 1, 2, 0.4 },
+};
+
+/* A server gets no more than its limit, and what it takes is used; requests
+   that it does not take go to the other server.  */
+START_TEST (test_rate)
+{
+  sim_create ();
+  sim_put_servers (2, 16, 0, 0);
+  cym_match_set_share (sim.match, rates[_i].share);
+  cym_match_find (sim.match, "i0")->lent_out = rates[_i].lent_out * 4;
+  sim_run (&busy, 1, 1000);
+  sim.limited[0] = true;
+  sim.limits[0] = rates[_i].per_s;
+  uint64_t before = placed_at ("i0");
+  uint64_t most = most_in_window ("i0", 20);
+  double share = rates[_i].share * (1 - rates[_i].lent_out / 4.0);
+  double per_s = (double)(placed_at ("i0") - before) / 21;
+  ck_assert_msg (most <= allowed (rates[_i].per_s, share), "%s: %d",
+                 rates[_i].pattern, (int)most);
+  ck_assert_msg (per_s >= rates[_i].per_s * rates[_i].used, "%s: %g",
+                 rates[_i].pattern, per_s);
+  ck_assert_uint_eq (sim.counts[0].refused, 0);
+  sim_destroy ();
+}
+END_TEST
+
+/* The borrower of 2 of 8 slots uses a quarter of the limit.  */
+START_TEST (test_rate_of_borrower)
+{
+  sim_create ();
+  sim_put_servers (0, 4, 0, 8);
+  cym_match_set_loan (sim.match, "i40", 1, 2, sim.now);
+  sim_run (&busy, 1, 1000);
+  sim.limited[40] = true;
+  sim.limits[40] = 12;
+  uint64_t most = most_in_window ("i40", 12);
+  ck_assert_uint_ge (most, (uint64_t)(12 * WINDOW_S * 0.25 * 0.9));
+  ck_assert_uint_le (most, allowed (12, 0.25));
+  sim_destroy ();
+}
+END_TEST
+
+/* The server's limit is lowered, raised and lifted.  */
+START_TEST (test_limit_changes)
+{
+  static const struct
+  {
+    bool limited;
+    double per_s;
+  } steps[] = { { true, 6 }, { true, 2 }, { true, 4 }, { false, 0 } };
+  sim_create ();
+  sim_put_servers (2, 16, 0, 0);
+  sim_run (&busy, 1, 1000);
+  for (unsigned i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      sim.limited[0] = steps[i].limited;
+      sim.limits[0] = steps[i].per_s;
+      uint64_t most = most_in_window ("i0", 8);
+      if (steps[i].limited)
+        ck_assert_uint_le (most, allowed (steps[i].per_s, 1));
+      else
+        ck_assert_uint_ge (most, 60);
+    }
+  sim_destroy ();
+}
+END_TEST
+
+/* All servers have limits below the load: what can't be served is refused at
+   once and told when to come back, the limits are used.  */
+START_TEST (test_all_limited)
+{
+  sim_create ();
+  sim_put_servers (2, 4, 0, 0);
+  sim_run (&busy, 1, 1000);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      sim.limited[i] = true;
+      sim.limits[i] = 10;
+    }
+  sim_run (&busy, 1, 1000);
+  memset (sim.counts, 0, sizeof sim.counts);
+  sim_run (&busy, 1, 10000);
+  const struct request_counts *counts = &sim.counts[0];
+  ck_assert_uint_eq (counts->refused_late, 0);
+  ck_assert_uint_ge (counts->on_time, 180);
+  ck_assert_uint_le (counts->on_time, 210);
+  struct cym_request request
+      = { .service = "s", .route = "r", .workspace = "w", .zone = "a" };
+  request.goal_at = sim.now + MS;
+  request.deadline_at = sim.now + MS;
+  ck_assert_int_ne (cym_match_place (sim.match, &request, sim.now), CY_OK);
+  ck_assert_uint_ge (request.retry_after_ms, 50);
+  sim_destroy ();
+}
+END_TEST
+
+/* A new placer does not know what the former one has placed: it starts with
+   no request to give away.  */
+START_TEST (test_new_placer_starts_empty)
+{
+  sim_create ();
+  record (1, 3);
+  sim.now += 30 * CY_NS_PER_S;
+  sim_put_servers (1, 16, 0, 0);
+  sim.limited[0] = true;
+  sim.limits[0] = 3;
+  uint64_t most = most_in_window ("i0", 8);
+  ck_assert_uint_le (most, allowed (3, 1));
+  ck_assert_uint_le (placed_at ("i0"), 3 * 9 + 2);
+  sim_destroy ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -207,6 +380,11 @@
   tcase_add_test (tcase, test_limit_before_register);
   tcase_add_test (tcase, test_limit_outlasts_register);
   tcase_add_test (tcase, test_limit_of_other_incarnation);
+  tcase_add_loop_test (tcase, test_rate, 0, G_N_ELEMENTS (rates));
+  tcase_add_test (tcase, test_rate_of_borrower);
+  tcase_add_test (tcase, test_limit_changes);
+  tcase_add_test (tcase, test_all_limited);
+  tcase_add_test (tcase, test_new_placer_starts_empty);
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
--- a/tests/scripts/server_limit.sh
+++ b/tests/scripts/server_limit.sh
@@ -16,6 +16,8 @@
 window_ms=4000
 allowed=$((limit_per_s * window_ms * 3 / 2 / 1000 + 5))
 cluster_free_port; limited_port=$PORT
+cluster_free_port; odd_port=$PORT
+cluster_free_port; brief_port=$PORT
 gate2=$net.12:$listen
 
 run_gate2 () {
@@ -63,7 +65,7 @@
     pids+=($!)
   done
   while [ "$(date +%s%3N)" -lt $end ]; do
-    [ $# -gt 0 ] && announce_all "$@"
+    [ $# -gt 0 ] && announce_all $*
     read -rt 0.5 <> <(:)
   done
   wait "${pids[@]}"
@@ -107,6 +109,25 @@
   grep -q '"server_limited"' "$cluster_dir/$name.out" \
     || fail "$name: no line in the log"
 done
+
+# A limit that is no number is logged and ignored; a limit that the answers no
+# longer report ends.
+start_backend odd "$odd_port" --limit "3 per s"
+start_backend brief "$brief_port" --limit 2 --limit-ms 4000
+send_requests 7000 "$both odd=$odd_port brief=$brief_port"
+grep '"server_notice_ignored"' "$cluster_dir/gate.out" \
+  | grep -q '"value":"3 per s"' || fail "no log line names the bad limit"
+grep -q '"server_unlimited"' "$cluster_dir/hub1.out" \
+  || fail "no log line tells that the limit ended"
+for name in odd brief; do
+  most=$(most_arrivals "$name" 0)
+  [ "$most" -gt $((2 * allowed)) ] \
+    || fail "$most requests in 4 s at $name, which has no limit"
+done
+check_limit limited "beside other servers" $allowed
+cluster_kill odd
+cluster_kill brief
+
 cluster_kill hub1
 send_requests 3000 $both
 check_limit limited "another control VM places" $allowed
