Soak: one of four backend servers limits its requests

The fault soak never had a server that asks for less. Server 4 now reports a limit of 4 requests a second; from 4 s after each of its starts on it may get 29 in 4 s, over kills and pauses of control VMs, entry VMs and itself.

--- a/tests/soak/hub_soak.sh
+++ b/tests/soak/hub_soak.sh
@@ -10,10 +10,12 @@
 #   "not run", no answer belongs to another request; a read never returns a
 #   declaration older than an acknowledged one, which is in force at the end; an
 #   entry VM exits after SIGTERM; no other process exits; every entry VM serves
-#   again after the faults, and as many control VMs may be lost as at the start.
+#   again after the faults, and as many control VMs may be lost as at the start;
+#   a backend server that limits its requests gets no more in any 4 s.
 set -u
 cd "$(dirname "$0")/../.." || exit 1
 source scripts/lib/cluster.sh
+source scripts/lib/arrivals.sh
 seed=${1:?a seed}
 duration_s=${2:-14}
 RANDOM=$seed
@@ -58,13 +60,16 @@
 # number of its last announcement.
 declare -A served fake incarnation sequence
 # start_backend NUMBER: starts a backend server behind the TCP proxy
-# test_tcp_fake; each start is a new incarnation.
+# test_tcp_fake; each start is a new incarnation.  Server 4 limits its requests.
+limit_per_s=4
 start_backend () {
+  local limit=""
+  incarnation[$1]=$(date +%s%3N)
+  [ "$1" = 4 ] && limit=$limit_per_s
   cluster_run "backend$1" "$cluster_bin/cy-backend" --service s \
     --instance "i$1" --zone "${zones[($1 - 1) % 3]}" --port "${served[$1]}" \
-    --slots 4 --service-time-ms $((10 + RANDOM % 30)) \
-    --record "$cluster_dir/backend$1.record"
-  incarnation[$1]=$(date +%s%3N)
+    --slots 4 --service-time-ms $((10 + RANDOM % 30)) --limit "$limit" \
+    --record "$cluster_dir/backend$1-${incarnation[$1]}.record"
   sequence[$1]=0
 }
 
@@ -261,6 +266,19 @@
     | grep -q '"voters":3,"voters_live":3,"losses_borne":1,'
 }
 
+# Checks the limit of server 4 from 4 s after each of its starts on.
+limited_most=0
+check_limit () {
+  local record start most allowed=$((limit_per_s * 4 * 3 / 2 + 5))
+  for record in "$cluster_dir"/backend4-*.record; do
+    start=${record##*-}
+    most=$(arrivals_most "$record" $((${start%.record} + 4000)))
+    [ "$most" -le $allowed ] \
+      || fail "$most requests in 4 s at a server that allows $allowed"
+    limited_most=$((most > limited_most ? most : limited_most))
+  done
+}
+
 # ------------------------------------------------------------ main
 
 for i in 1 2 3; do start_hub $i; start_gate $i; done
@@ -308,10 +326,11 @@
 cat "$cluster_dir"/backend*.record >"$cluster_dir/ran.all"
 build/tests/path/test_records "$cluster_dir/ran.all" "$cluster_dir"/load-{r,w}.record \
   || fail "records"
+check_limit
 if [ $failures -gt 0 ]; then
   ps -o pid,stat,time,args -p "$(IFS=,; echo "${cluster_pid[*]}")" | cut -c1-100
   for i in 1 2 3; do tail -n 3 "$cluster_dir/${hub[i]}.out" | cut -c1-300; done
 fi
-log "seed $seed: $(grep -c . "$cluster_dir/ran.all") runs, declarations sent $number, newest acknowledged $acked, control VMs replaced $replacements, $failures failures"
+log "seed $seed: $(grep -c . "$cluster_dir/ran.all") runs, declarations sent $number, newest acknowledged $acked, control VMs replaced $replacements, most in 4 s at the limited server $limited_most, $failures failures"
 if [ $failures -gt 0 ] && [ -n "${SOAK_KEEP:-}" ]; then cp -r "$cluster_dir" "$SOAK_KEEP/$seed"; fi
 [ $failures -eq 0 ]
