What servers report at a control VM has a file of its own; one event for limits

Changes of a limit were never sampled, so a server that names another limit in each answer would have filled the log.

Change: cyc_notices.c holds what servers report to entry VMs (moved, not changed); cyu_server_events.c writes server_limited and server_unlimited, at the rate of faults. No decision changes.

--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -8,6 +8,7 @@
 
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
+#include "base/cyu_server_events.h"
 #include "entry/cye_hub_internal.h"
 
 /* Slots at servers that take no further request which a request may return
@@ -29,14 +30,8 @@
     return;
   cym_match_record_limit (hub->match, place->instance, place->incarnation,
                           per_s, sent_at, now);
-  if (load->limited)
-    cyu_event (CYU_CHANGE, "server_limited", "{ss sI sf ss?}", "instance",
-               place->instance, "born", (json_int_t)place->incarnation,
-               "per_s", per_s, "request", place->request_id);
-  else
-    cyu_event (CYU_CHANGE, "server_unlimited", "{ss sI ss?}", "instance",
-               place->instance, "born", (json_int_t)place->incarnation,
-               "request", place->request_id);
+  cyu_event_server_limit (place->instance, place->incarnation, per_s,
+                          place->request_id);
 }
 
 void
--- a/src/entry/cye_slots.c
+++ b/src/entry/cye_slots.c
@@ -4,7 +4,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "base/cyu_log.h"
+#include "base/cyu_server_events.h"
 
 /* Connections are kept open only at servers that accept at least this many
    connections per slot, because all entry VMs of the zone share the
@@ -266,15 +266,10 @@
                    load->pause_ms);
   bool has_changed
       = cyb_pool_record_limit (service->pool, ticket->server, per_s, sent_at);
+  uint64_t incarnation = ticket->server->incarnation;
   g_mutex_unlock (&slots->lock);
-  if (!has_changed)
-    return;
-  if (load->limited)
-    cyu_event (CYU_CHANGE, "server_limited", "{ss sf}", "instance",
-               ticket->instance, "per_s", per_s);
-  else
-    cyu_event (CYU_CHANGE, "server_unlimited", "{ss}", "instance",
-               ticket->instance);
+  if (has_changed)
+    cyu_event_server_limit (ticket->instance, incarnation, per_s, NULL);
 }
 
 bool
--- a/src/hub/cyc_children.c
+++ b/src/hub/cyc_children.c
@@ -102,7 +102,7 @@
              report->self->host, report->self->port,
              report->self->ready ? "ready" : "not ready");
   for (size_t i = 0; i < report->n_notices; i++)
-    cyc_dispatch_notice (hub, child, report->notices[i]);
+    cyc_notices_receive (hub, child, report->notices[i]);
   cyc_hub_schedule_flush (hub);
 }
 
--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -3,13 +3,12 @@
 
 #include <inttypes.h>
 #include <jansson.h>
-#include <math.h>
 #include <string.h>
 
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
+#include "base/cyu_server_events.h"
 #include "core/cy_copy.h"
-#include "core/cym_notices.h"
 #include "hub/cyc_internal.h"
 
 /* Interval between two checks while requests wait, ms.  */
@@ -273,74 +272,6 @@
                server->id, "born", (json_int_t)server->incarnation);
 }
 
-/* False for a limit that no entry VM reads from an answer.  */
-static bool
-is_limit_valid (double per_s)
-{
-  return per_s >= 0 && per_s <= CYM_LIMIT_MAX_PER_S;
-}
-
-/* Passes on that INCARNATION of server ID told CHILD that it leaves.  */
-static void
-mark_leaving (struct cyc_hub *hub, const struct cyc_child *child,
-              const char *id, uint64_t incarnation)
-{
-  if (cyc_register_leaving (hub->reg, id, incarnation) != CYC_CHANGED)
-    return;
-  cyu_event (CYU_CHANGE, "server_leaves", "{ss sI ss}", "instance", id, "born",
-             (json_int_t)incarnation, "entry_vm",
-             child->vm == NULL ? "" : child->vm);
-  cyc_hub_schedule_flush (hub);
-}
-
-static void
-count_limited (const struct cyc_hub *hub)
-{
-  static struct cyu_metric *limited;
-  if (limited == NULL)
-    limited = cyu_gauge ("cy_hub_limited_servers", "",
-                         "Backend servers that limit their requests.");
-  cyu_metric_set (limited, cym_match_count_limited (hub->match));
-}
-
-/* Logs a new limit of INCARNATION of server ID, INFINITY for none.  */
-static void
-log_limit (const char *id, uint64_t incarnation, double per_s)
-{
-  if (isfinite (per_s))
-    cyu_event (CYU_CHANGE, "server_limited", "{ss sI sf}", "instance", id,
-               "born", (json_int_t)incarnation, "per_s", per_s);
-  else
-    cyu_event (CYU_CHANGE, "server_unlimited", "{ss sI}", "instance", id,
-               "born", (json_int_t)incarnation);
-}
-
-/* Records the limit that an entry VM held when it connected.  */
-static void
-record_reported_limit (struct cyc_hub *hub, const Cy__ServerNotice *notice)
-{
-  cy_time_ns confirmed_at
-      = cyc_now (hub) - notice->limit_age_ms * CY_NS_PER_MS;
-  if (cym_match_record_limit (hub->match, notice->id, notice->born,
-                              notice->limit_per_s, confirmed_at, confirmed_at))
-    log_limit (notice->id, notice->born, notice->limit_per_s);
-}
-
-void
-cyc_dispatch_notice (struct cyc_hub *hub, struct cyc_child *child,
-                     const Cy__ServerNotice *notice)
-{
-  if (notice->limited && is_limit_valid (notice->limit_per_s))
-    record_reported_limit (hub, notice);
-  struct cym_load load
-      = { .leaving = notice->leaving,
-          .pause_ms = MIN (notice->pause_ms, CYM_PAUSE_MAX_MS) };
-  if (notice->leaving)
-    mark_leaving (hub, child, notice->id, notice->born);
-  cym_match_notice (hub->match, notice->id, notice->born, child->vm_hash,
-                    &load, cyc_now (hub));
-}
-
 void
 cyc_dispatch_finish (struct cyc_hub *hub, struct cyc_child *child,
                      const Cy__PlaceDone *done)
@@ -348,22 +279,13 @@
   struct cyc_job *job = g_hash_table_lookup (child->jobs, &done->number);
   if (job == NULL)
     return;
-  struct cym_load load
-      = { .known = done->loaded,
-          .running = done->running,
-          .waiting = done->waiting,
-          .slots = done->slots,
-          .cold_ms = done->cold_ms,
-          .leaving = done->leaving,
-          .pause_ms = MIN (done->pause_ms, CYM_PAUSE_MAX_MS),
-          .limited = done->limited && is_limit_valid (done->limit_per_s),
-          .limit_per_s = done->limit_per_s };
+  struct cym_load load = cyc_notices_read (done);
   enum cym_outcome outcome = done->ending <= CYM_CANCELLED
                                  ? (enum cym_outcome)done->ending
                                  : CYM_CANCELLED;
   const struct cym_server *server = job->request.server;
   if (server != NULL && load.leaving)
-    mark_leaving (hub, child, server->id, server->incarnation);
+    cyc_notices_mark_leaving (hub, child, server->id, server->incarnation);
   if (server != NULL)
     {
       bool was_returning = server->on_probation;
@@ -376,7 +298,8 @@
                   cyc_now (hub));
       if (server->limit.per_s < limit_before
           || server->limit.per_s > limit_before)
-        log_limit (server->id, server->incarnation, server->limit.per_s);
+        cyu_event_server_limit (server->id, server->incarnation,
+                                server->limit.per_s, NULL);
     }
   else
     cym_match_cancel (hub->match, &job->request);
@@ -512,7 +435,7 @@
 cyc_dispatch_heartbeat (struct cyc_hub *hub)
 {
   cyc_dispatch_update_share (hub);
-  count_limited (hub);
+  cyc_notices_heartbeat (hub);
   drop_orphans (hub, cyc_now (hub));
 }
 
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -308,10 +308,6 @@
    ones.  */
 void cyc_dispatch_disconnect (struct cyc_hub *hub, struct cyc_child *child);
 
-/* Applies what a backend server reported to CHILD.  */
-void cyc_dispatch_notice (struct cyc_hub *hub, struct cyc_child *child,
-                          const Cy__ServerNotice *notice);
-
 /* Copies the register, the drained zones and the services of the declaration
    to the matcher.  */
 void cyc_dispatch_update_servers (struct cyc_hub *hub);
@@ -321,6 +317,22 @@
 void cyc_dispatch_update_share (struct cyc_hub *hub);
 void cyc_dispatch_heartbeat (struct cyc_hub *hub);
 
+/* ---- cyc_notices.c */
+/* What the backend server reported with the answer to the request of DONE.  */
+struct cym_load cyc_notices_read (const Cy__PlaceDone *done);
+
+/* Passes on that INCARNATION of server ID reported to CHILD that it leaves. */
+void cyc_notices_mark_leaving (struct cyc_hub *hub,
+                               const struct cyc_child *child, const char *id,
+                               uint64_t incarnation);
+
+/* Applies what a backend server reported to CHILD.  */
+void cyc_notices_receive (struct cyc_hub *hub, const struct cyc_child *child,
+                          const Cy__ServerNotice *notice);
+
+/* Updates the metric of servers with a limit.  */
+void cyc_notices_heartbeat (const struct cyc_hub *hub);
+
 /* ---- cyc_lending.c */
 /* Adds needs and loans to SYNC; cyc_lending_clear_sync frees them.  */
 void cyc_lending_fill_sync (struct cyc_hub *hub, Cy__HubSync *sync);
