Only a whole success shows that a backend server has no limit any more

Found by reading: an error, a refusal or an answer with a limit that can't be read lifted the limit. A server that is short of room may well refuse without naming its limit; each such answer would have let requests through until the next one names it.

Change: the entry VM tells whether an answer was a success without the header; only such an answer, when it arrives whole, lifts a limit, in both layouts.

--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -10471,7 +10471,7 @@
   (ProtobufCMessageInit) cy__place_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__place_done__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cy__place_done__field_descriptors[13] =
 {
   {
     "number",
@@ -10617,6 +10617,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unlimited",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlaceDone, unlimited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__place_done__field_indices_by_name[] = {
   2,   /* field[2] = answer_us */
@@ -10630,12 +10642,13 @@
   9,   /* field[9] = pause_ms */
   4,   /* field[4] = running */
   6,   /* field[6] = slots */
+  12,   /* field[12] = unlimited */
   5,   /* field[5] = waiting */
 };
 static const ProtobufCIntRange cy__place_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cy__place_done__descriptor =
 {
@@ -10645,7 +10658,7 @@
   "Cy__PlaceDone",
   "cy",
   sizeof(Cy__PlaceDone),
-  12,
+  13,
   cy__place_done__field_descriptors,
   cy__place_done__field_indices_by_name,
   1,  cy__place_done__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -2025,10 +2025,14 @@
    * Requests that the server takes from all entry VMs together.
    */
   double limit_per_s;
+  /*
+   * the answer was a success without a limit
+   */
+  protobuf_c_boolean unlimited;
 };
 #define CY__PLACE_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__place_done__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -392,19 +392,18 @@
   return true;
 }
 
-/* Updates the limit of SERVER by the end of REQUEST.  Only a whole answer
-   shows that the server has no limit any more.  */
+/* Updates the limit of SERVER by the end of REQUEST.  Only a whole success
+   shows that the server has no limit any more: errors and refusals of a server
+   in need may come from a part of it that does not report the limit.  */
 static void
 record_limit (struct cym_server *server, const struct cym_request *request,
               enum cym_outcome outcome, const struct cym_load *load,
               cy_time_ns now)
 {
-  bool is_whole = outcome == CYM_ANSWERED || outcome == CYM_ERROR
-                  || outcome == CYM_NOT_RUN;
   if (load->limited)
     cym_limit_record (&server->limit, load->limit_per_s, request->placed_at,
                       now);
-  else if (is_whole)
+  else if (load->unlimited && outcome == CYM_ANSWERED)
     cym_limit_record (&server->limit, INFINITY, request->placed_at, now);
 }
 
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -61,6 +61,7 @@
   uint32_t pause_ms;
   bool limited;       /* the answer carried a limit */
   double limit_per_s; /* the limit, see struct cym_limit */
+  bool unlimited;     /* the answer was a success without a limit */
 };
 
 /* One server of the register.  Strings belong to the caller.  */
--- a/src/entry/cye_classify.c
+++ b/src/entry/cye_classify.c
@@ -48,6 +48,7 @@
 {
   const char *name = request->shared->names->limit;
   const char *limit = cye_answer_header (head, name);
+  out->unlimited = limit == NULL && head->status < 500;
   if (limit == NULL)
     return;
   out->limited = cym_limit_parse (limit, &out->limit_per_s);
--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -25,6 +25,8 @@
 {
   cy_time_ns now = cye_hub_now (hub);
   double per_s = load->limited ? load->limit_per_s : INFINITY;
+  if (!load->limited && !load->unlimited)
+    return;
   if (!cym_notices_record_limit (hub->notices, place->instance,
                                  place->incarnation, per_s, sent_at, now))
     return;
@@ -266,6 +268,7 @@
       done.pause_ms = load->pause_ms;
       done.limited = load->limited;
       done.limit_per_s = load->limit_per_s;
+      done.unlimited = load->unlimited;
     }
   envelope.body_case = CY__ENVELOPE__BODY_PLACE_DONE;
   envelope.place_done = &done;
--- a/src/entry/cye_slots.c
+++ b/src/entry/cye_slots.c
@@ -264,8 +264,9 @@
   struct service *service = get_service (slots, ticket->service);
   cyb_pool_notice (service->pool, ticket->server, load->leaving,
                    load->pause_ms);
-  bool has_changed
-      = cyb_pool_record_limit (service->pool, ticket->server, per_s, sent_at);
+  bool has_changed = (load->limited || load->unlimited)
+                     && cyb_pool_record_limit (service->pool, ticket->server,
+                                               per_s, sent_at);
   uint64_t incarnation = ticket->server->incarnation;
   g_mutex_unlock (&slots->lock);
   if (has_changed)
--- a/src/hub/cyc_notices.c
+++ b/src/hub/cyc_notices.c
@@ -29,6 +29,7 @@
     .pause_ms = MIN (done->pause_ms, CYM_PAUSE_MAX_MS),
     .limited = done->limited && is_limit_valid (done->limit_per_s),
     .limit_per_s = done->limit_per_s,
+    .unlimited = done->unlimited,
   };
 }
 
--- a/tests/match/match_world.h
+++ b/tests/match/match_world.h
@@ -272,8 +272,9 @@
 sim_finish_call (struct sim_call *call)
 {
   unsigned index = (unsigned)atoi (call->request.server->id + 1);
-  struct cym_load load
-      = { .limited = sim.limited[index], .limit_per_s = sim.limits[index] };
+  struct cym_load load = { .limited = sim.limited[index],
+                           .limit_per_s = sim.limits[index],
+                           .unlimited = !sim.limited[index] };
   struct request_counts *counts = counts_of (call);
   cy_time_ns answer_time
       = call->outcome == CYM_ANSWERED ? call->ends_at - call->sent_at : 0;
--- a/tests/match/test_limit.c
+++ b/tests/match/test_limit.c
@@ -323,6 +323,43 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *pattern;
+  struct cym_load load; /* of an answer to a request that was sent later */
+  enum cym_outcome outcome;
+  bool lifts;
+} lifts[] = {
+  { "a success without the limit", { .unlimited = true }, CYM_ANSWERED, true },
+  { "a success with a limit that can't be read", { 0 }, CYM_ANSWERED, false },
+  { "an error without the limit", { 0 }, CYM_ERROR, false },
+  { "a refusal without the limit", { 0 }, CYM_NOT_RUN, false },
+  { "a success that broke off", { .unlimited = true }, CYM_BROKEN, false },
+  { "another server at the address", { 0 }, CYM_WRONG_SERVER, false },
+  { "no answer", { 0 }, CYM_TIMED_OUT, false },
+};
+
+/* What shows that a limit has ended.  */
+START_TEST (test_lift)
+{
+  struct cym_request request
+      = { .service = "s", .route = "r", .workspace = "w", .zone = "a" };
+  sim_create ();
+  sim_put_servers (1, 4, 0, 0);
+  record (1, 3);
+  sim.now += CY_NS_PER_S;
+  request.goal_at = sim.now + CY_NS_PER_S;
+  request.deadline_at = sim.now + CY_NS_PER_S;
+  ck_assert_int_eq (cym_match_place (sim.match, &request, sim.now), CY_OK);
+  sim.now += MS;
+  cym_match_finish (sim.match, &request, lifts[_i].outcome, MS,
+                    &lifts[_i].load, sim.now);
+  ck_assert_msg (isinf (limit_of_first ()) == lifts[_i].lifts, "%s",
+                 lifts[_i].pattern);
+  sim_destroy ();
+}
+END_TEST
+
 /* All servers have limits below the load: what can't be served is refused at
    once and told when to come back, the limits are used.  */
 START_TEST (test_all_limited)
@@ -383,6 +420,7 @@
   tcase_add_loop_test (tcase, test_rate, 0, G_N_ELEMENTS (rates));
   tcase_add_test (tcase, test_rate_of_borrower);
   tcase_add_test (tcase, test_limit_changes);
+  tcase_add_loop_test (tcase, test_lift, 0, G_N_ELEMENTS (lifts));
   tcase_add_test (tcase, test_all_limited);
   tcase_add_test (tcase, test_new_placer_starts_empty);
   suite_add_tcase (suite, tcase);
