--- a/review/stand-2/server.c
+++ b/review/stand-2/server.c
@@ -1,7 +1,8 @@
 /* A backend server as the platform's pages describe it: announces itself,
    runs as many requests at a time as it has slots and queues a few more, drops
    a request whose connection closes, and rejects what isn't meant for it.
-   SIGUSR1: it becomes cold.  Every run is a line of the record.  */
+   SIGUSR1: it becomes cold, and crashes if it then gets --crash-per-s requests
+   in a second.  Every run is a line of the record.  */
 
 #include "wire.h"
 
@@ -19,6 +20,8 @@
 #define HEADER_SIZE 128
 #define STEP_MS     10 /* ms between two checks whether a caller has left */
 
+#define ARRIVALS_MAX 256 /* arrivals that are kept to compute a rate */
+
 static struct
 {
   const char *listen;
@@ -31,6 +34,7 @@
   int64_t work_ms;
   int64_t beat_ms;
   int64_t cold_ms;
+  int64_t crash_per_s; /* 0: it bears any rate */
   int64_t born;
   sem_t free_slots;
   atomic_int waiting;
@@ -115,6 +119,33 @@
   wire_write (conn, text, (size_t)length);
 }
 
+/* Ends the process when it is cold and got too many requests within the last
+   second.  */
+static void
+count_arrival (void)
+{
+  static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+  static int64_t arrivals[ARRIVALS_MAX];
+  static size_t count;
+  int64_t now = wire_now_ms ();
+  if (server.crash_per_s <= 0 || server.crash_per_s >= ARRIVALS_MAX)
+    return;
+  pthread_mutex_lock (&lock);
+  if (cold_left_ms () == 0)
+    count = 0;
+  else
+    arrivals[count++ % ARRIVALS_MAX] = now;
+  size_t limit = (size_t)server.crash_per_s;
+  if (count > limit
+      && now - arrivals[(count - 1 - limit) % ARRIVALS_MAX] < 1000)
+    {
+      wire_record (server.record, "crashed %s with %d requests", server.id,
+                   atomic_load (&server.running));
+      _exit (1);
+    }
+  pthread_mutex_unlock (&lock);
+}
+
 static bool
 has_left (const struct wire_conn *conn)
 {
@@ -162,6 +193,7 @@
     }
   wire_record (server.record, "arrived %s %s cold %lld %s", server.id, id,
                cold_left_ms (), target);
+  count_arrival ();
   if (expected[0] != '\0' && strcmp (expected, server.id) != 0)
     {
       answer (conn, "421 Misdirected Request", id, not_run, "");
@@ -227,6 +259,7 @@
   server.work_ms = wire_option_number (argc, argv, "--work-ms", 20);
   server.beat_ms = wire_option_number (argc, argv, "--beat-ms", 1500);
   server.cold_ms = wire_option_number (argc, argv, "--cold-ms", 3000);
+  server.crash_per_s = wire_option_number (argc, argv, "--crash-per-s", 0);
   server.born = wire_now_ms ();
   sem_init (&server.free_slots, 0, (unsigned)server.slots);
   sigaction (SIGUSR1, &cold, NULL);
