--- a/review/stand-2/cluster.sh
+++ b/review/stand-2/cluster.sh
@@ -13,11 +13,11 @@
 : >"$runs"
 declare -A pid
 
+# Ends all processes that the script started and that still run.
 cluster_end () {
-  local name
-  for name in "${!pid[@]}"; do
-    kill -CONT "${pid[$name]}" 2>/dev/null
-    kill -KILL "${pid[$name]}" 2>/dev/null
+  local id
+  for id in $(jobs -p); do
+    kill -KILL "$id" 2>/dev/null
   done
   wait 2>/dev/null
   rm -rf "$work"
