The head of a backend server's answer is checked before it is believed

Callers saw answers that were none: status 600 and 999, and a success where the server had sent 'HTTP/2 200 OK', '200OK', two spaces before the status, 'http/1.1', a line that is no header, two different lengths or a foreign encoding. Probes of the tree layout took the same for healthy.

Cause: libcurl reads a head leniently, and the entry VM believed its reading; where it read the lines itself, it read some of them otherwise than libcurl (Content-Length: the first line here, the last one there). Class: two readers of one head.

Now cye_answer reads each line of a head and its verdict goes before libcurl's: HTTP/1.0 or 1.1 and a status from 100 to 599, headers of a token and a clean value, a length of digits only and the same in each line, no encoding but chunked, no upgrade, one request ID and one stamp. The first fault ends the transfer and closes the connection; nothing of the answer is used, not even its load. Forwarding and probes use the same reader.

Status 000 was refused before, too; now at the status line and not at the end of the body.

--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -8,18 +8,13 @@
 
 #include "entry/cye_headers.h"
 
-#define CYE_ANSWER_HEADERS_MAX 200   /* further headers are dropped */
-#define CYE_ANSWER_BYTES_MAX   32768 /* of its heads and its trailers */
-#define CYE_ANSWER_LINES_MAX   1000  /* of them; libcurl keeps each one */
-#define CYE_KEEPALIVE_S        5L    /* s between TCP keep-alive probes */
+#define CYE_KEEPALIVE_S 5L /* s between TCP keep-alive probes */
 
 struct cye_call
 {
   struct cye_call_options options;
   CURL *easy;
   struct cye_answer_head head;
-  size_t head_bytes; /* of all answer heads, interim ones and trailers too */
-  size_t head_lines;
   struct cye_buffer body;
   uint64_t body_bytes;    /* received of the answer's body */
   uint64_t sent_bytes;    /* passed to libcurl of the request's body */
@@ -126,57 +121,26 @@
   return CURL_SOCKOPT_OK;
 }
 
-static void
-clear_head (struct cye_call *call)
-{
-  g_ptr_array_set_size (call->head.names, 0);
-  g_ptr_array_set_size (call->head.values, 0);
-  call->head.status = 0;
-}
-
-static void
-add_header (struct cye_call *call, const char *line, size_t length)
-{
-  const char *colon = memchr (line, ':', length);
-  if (colon == NULL || call->head.names->len >= CYE_ANSWER_HEADERS_MAX)
-    return;
-  char *name = g_strndup (line, (gsize)(colon - line));
-  char *value = g_strndup (colon + 1, length - (size_t)(colon - line) - 1);
-  g_ptr_array_add (call->head.names, g_strstrip (name));
-  g_ptr_array_add (call->head.values, g_strstrip (value));
-}
-
+/* Reads a line of the answer's head.  A return value below the length of the
+   line ends the transfer and closes the connection.  */
 static size_t
 on_header (char *line, size_t size, size_t count, void *context)
 {
   struct cye_call *call = context;
+  const struct cye_call_options *options = &call->options;
   size_t length = size * count;
-  call->head_bytes += length;
-  if (call->head_bytes > CYE_ANSWER_BYTES_MAX
-      || ++call->head_lines > CYE_ANSWER_LINES_MAX)
-    return 0;
-  if (call->head.complete)
-    return length; /* trailers are not passed on */
+  bool was_complete = call->head.complete;
   if (call->first_byte_at == 0)
-    call->first_byte_at = cy_clock_now (call->options.clock);
-  if (length > 5 && strncmp (line, "HTTP/", 5) == 0)
-    clear_head (call);
-  else if (line[0] == '\r' || line[0] == '\n')
+    call->first_byte_at = cy_clock_now (options->clock);
+  if (cye_answer_read_line (&call->head, line, length) != CYE_ANSWER_SOUND)
+    return 0;
+  if (call->head.complete && !was_complete)
     {
-      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE,
-                         &call->head.status);
-      call->head.complete = call->head.status >= 200;
-      if (call->head.complete)
-        {
-          const struct cye_call_options *options = &call->options;
-          notify_change (call);
-          if (options->accepts != NULL
-              && !options->accepts (&call->head, options->context))
-            return 0;
-        }
+      notify_change (call);
+      if (options->accepts != NULL
+          && !options->accepts (&call->head, options->context))
+        return 0;
     }
-  else
-    add_header (call, line, length);
   return length;
 }
 
@@ -316,8 +280,7 @@
 {
   struct cye_call *call = g_new0 (struct cye_call, 1);
   call->options = *options;
-  call->head.names = g_ptr_array_new_with_free_func (g_free);
-  call->head.values = g_ptr_array_new_with_free_func (g_free);
+  cye_answer_init (&call->head);
   cye_buffer_init (&call->body);
   call->easy = cyh_client_acquire (options->client);
   set_transfer (call);
@@ -337,31 +300,13 @@
       cyh_client_remove (call->options.client, call->easy);
       cyh_client_release (call->options.client, call->easy);
     }
-  g_ptr_array_free (call->head.names, TRUE);
-  g_ptr_array_free (call->head.values, TRUE);
+  cye_answer_clear (&call->head);
   cye_buffer_clear (&call->body);
   g_free (call);
 }
 
 /* ------------------------------------------------------------ progress */
 
-uint64_t
-cye_answer_length (const struct cye_answer_head *head)
-{
-  const char *found = NULL;
-  for (guint i = 0; i < head->names->len; i++)
-    {
-      const char *name = g_ptr_array_index (head->names, i);
-      /* Chunks go before a length.  */
-      if (strcasecmp (name, "Transfer-Encoding") == 0)
-        return CYE_ANSWER_LENGTH_UNKNOWN;
-      if (found == NULL && strcasecmp (name, "Content-Length") == 0)
-        found = g_ptr_array_index (head->values, i);
-    }
-  return found == NULL ? CYE_ANSWER_LENGTH_UNKNOWN
-                       : g_ascii_strtoull (found, NULL, 10);
-}
-
 bool
 cye_call_has_whole_answer (const struct cye_call *call)
 {
@@ -399,6 +344,11 @@
   if (code != CURLE_OK && code != CURLE_WRITE_ERROR
       && call->options.upload != NULL && cye_call_has_whole_answer (call))
     code = CURLE_OK;
+  if (code == CURLE_UNSUPPORTED_PROTOCOL)
+    call->head.fault = CYE_ANSWER_STATUS_LINE;
+  else if (code == CURLE_WEIRD_SERVER_REPLY
+           && call->head.fault == CYE_ANSWER_SOUND)
+    call->head.fault = CYE_ANSWER_HEADER_LINE;
   call->ended = true;
   call->code = code;
   call->ended_at = cy_clock_now (call->options.clock);
@@ -475,6 +425,8 @@
 cy_result
 cye_call_result (const struct cye_call *call)
 {
+  if (call->head.fault != CYE_ANSWER_SOUND)
+    return CY_E_BACKEND_FAILED;
   switch (call->code)
     {
     case CURLE_OK:
--- a/src/entry/cye_call.h
+++ b/src/entry/cye_call.h
@@ -16,6 +16,7 @@
 
 #include "core/cy_clock.h"
 #include "cy_result.h"
+#include "entry/cye_answer.h"
 #include "http/cyh_client.h"
 
 #define CYE_BUFFER_BYTES 65536 /* of a body, buffered per direction */
@@ -59,8 +60,6 @@
 size_t cye_buffer_read (struct cye_buffer *buffer, void *out, size_t room,
                         bool keep);
 
-struct cye_answer_head;
-
 struct cye_call_options
 {
   struct cyh_client *client;
@@ -94,21 +93,6 @@
   void *context;
 };
 
-/* Head of the answer as received so far.  Only the call changes the fields. */
-struct cye_answer_head
-{
-  long status;
-  GPtrArray *names;  /* char *, names of the headers */
-  GPtrArray *values; /* char *, values in the same order */
-  bool complete;     /* the empty line after the headers was received */
-};
-
-#define CYE_ANSWER_LENGTH_UNKNOWN UINT64_MAX
-
-/* Bytes of the body that HEAD announces, CYE_ANSWER_LENGTH_UNKNOWN if it
-   announces none.  */
-uint64_t cye_answer_length (const struct cye_answer_head *head);
-
 struct cye_call *cye_call_create (const struct cye_call_options *options);
 
 /* Frees the call.  A call that has not ended is cancelled and its connection
--- a/src/entry/cye_classify.c
+++ b/src/entry/cye_classify.c
@@ -11,15 +11,6 @@
 #include "core/cym_notices.h"
 #include "entry/cye_request_internal.h"
 
-const char *
-cye_answer_header (const struct cye_answer_head *head, const char *name)
-{
-  for (guint i = 0; i < head->names->len; i++)
-    if (strcasecmp (g_ptr_array_index (head->names, i), name) == 0)
-      return g_ptr_array_index (head->values, i);
-  return NULL;
-}
-
 static void
 count_notice (const char *kind)
 {
@@ -133,23 +124,25 @@
   return strcmp (echo, expected) == 0 ? ECHO_MATCHES : ECHO_DIFFERS;
 }
 
-/* False when the answer may belong to another request, whose answer arrived
-   late on a persistent connection.  In the hub layout servers always echo the
-   request ID, so an answer without it is not accepted.  */
-static bool
-is_echo_acceptable (const struct cye_request *request,
-                    const struct cye_answer_head *head)
+/* The answer to another request may arrive late on a persistent connection.
+   In the hub layout servers always echo the request ID, so an answer without
+   it is not accepted.  */
+static enum cye_answer_fault
+check_echo (const struct cye_request *request,
+            const struct cye_answer_head *head)
 {
   switch (classify_echo (request, head))
     {
     case ECHO_MATCHES:
-      return true;
+      return CYE_ANSWER_SOUND;
     case ECHO_DIFFERS:
-      return false;
+      return CYE_ANSWER_OTHER_ID;
     case ECHO_NONE:
       break;
     }
-  return request->shared->layout == CYE_TREE || request->request_id == NULL;
+  return request->shared->layout == CYE_TREE || request->request_id == NULL
+             ? CYE_ANSWER_SOUND
+             : CYE_ANSWER_NO_ID;
 }
 
 /* True when HEAD reports that the server did not run the request.  */
@@ -181,28 +174,40 @@
          || classify_echo (request, head) == ECHO_MATCHES;
 }
 
-/* False for a success that lacks the stamp of backend servers or has an
-   encoded body: another program sent it.  */
-static bool
-is_from_server (const struct cye_request *request,
-                const struct cye_answer_head *head)
+/* A success that lacks the stamp of backend servers or has an encoded body
+   comes from another program.  */
+static enum cye_answer_fault
+check_origin (const struct cye_request *request,
+              const struct cye_answer_head *head)
 {
-  const struct cye_names *names = request->shared->names;
-  bool stamped
-      = names->stamp == NULL || cye_answer_header (head, names->stamp) != NULL;
-  return head->status >= 300
-         || (stamped && cye_answer_header (head, "Content-Encoding") == NULL);
+  const char *stamp = request->shared->names->stamp;
+  if (head->status >= 300)
+    return CYE_ANSWER_SOUND;
+  if (stamp != NULL && cye_answer_header (head, stamp) == NULL)
+    return CYE_ANSWER_UNSTAMPED;
+  return cye_answer_header (head, "Content-Encoding") == NULL
+             ? CYE_ANSWER_SOUND
+             : CYE_ANSWER_ENCODED;
 }
 
-bool
-cye_is_valid_answer (const struct cye_request *request,
-                     const struct cye_answer_head *head)
+enum cye_answer_fault
+cye_check_answer (const struct cye_request *request,
+                  const struct cye_answer_head *head)
 {
-  if (!is_echo_acceptable (request, head))
-    return false;
+  const struct cye_names *names = request->shared->names;
+  if (head->fault != CYE_ANSWER_SOUND)
+    return head->fault;
+  if (cye_answer_differs (head, names->request_id)
+      || (names->stamp != NULL && cye_answer_differs (head, names->stamp)))
+    return CYE_ANSWER_REPEATED;
+  enum cye_answer_fault fault = check_echo (request, head);
+  if (fault != CYE_ANSWER_SOUND)
+    return fault;
   if (is_refusal (request, head))
-    return is_refusal_certain (request, head);
-  return request->shared->layout == CYE_TREE || is_from_server (request, head);
+    return is_refusal_certain (request, head) ? CYE_ANSWER_SOUND
+                                              : CYE_ANSWER_OLD_REFUSAL;
+  return request->shared->layout == CYE_TREE ? CYE_ANSWER_SOUND
+                                             : check_origin (request, head);
 }
 
 enum cye_verdict
@@ -210,10 +215,10 @@
 {
   const struct cye_answer_head *head = cye_call_head (request->call);
   bool hub = request->shared->layout == CYE_HUB;
+  if (cye_check_answer (request, head) != CYE_ANSWER_SOUND)
+    return CYE_INVALID;
   if (hub)
     read_load (request, head);
-  if (!cye_is_valid_answer (request, head))
-    return CYE_INVALID;
   bool misdirected = hub && head->status == 421 && is_refusal (request, head);
   if (misdirected)
     return CYE_MISDIRECTED;
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -39,7 +39,7 @@
 static bool
 accepts_answer (const struct cye_answer_head *head, void *context)
 {
-  return cye_is_valid_answer (context, head);
+  return cye_check_answer (context, head) == CYE_ANSWER_SOUND;
 }
 
 static bool
--- a/src/entry/cye_headers.c
+++ b/src/entry/cye_headers.c
@@ -49,8 +49,8 @@
 
 /* ------------------------------------------------------------ requests */
 
-static bool
-is_token (const char *name, size_t length)
+bool
+cye_headers_is_token (const char *name, size_t length)
 {
   for (size_t i = 0; i < length; i++)
     if (!g_ascii_isalnum (name[i])
@@ -59,8 +59,8 @@
   return length > 0;
 }
 
-static bool
-is_field_value (const char *value, size_t length)
+bool
+cye_headers_is_value (const char *value, size_t length)
 {
   for (size_t i = 0; i < length; i++)
     {
@@ -153,10 +153,10 @@
 read_header (const struct cye_names *names, const struct cye_header *header,
              struct header_counts *counts, struct cye_request_head *head)
 {
-  if (!is_token (header->name, header->name_length)
+  if (!cye_headers_is_token (header->name, header->name_length)
       || strlen (header->name) != header->name_length
       || strlen (header->value) != header->value_length
-      || !is_field_value (header->value, header->value_length))
+      || !cye_headers_is_value (header->value, header->value_length))
     return CY_E_REQUEST_MALFORMED;
   if (strcasecmp (header->name, names->key) == 0)
     return read_key (names, header, head);
--- a/src/entry/cye_headers.h
+++ b/src/entry/cye_headers.h
@@ -62,6 +62,12 @@
 const char *cye_headers_cookie (const char *cookies, const char *name,
                                 size_t *length);
 
+/* True when the LENGTH bytes at NAME are a name of a header.  */
+bool cye_headers_is_token (const char *name, size_t length);
+
+/* True when the LENGTH bytes at VALUE may be the value of a header.  */
+bool cye_headers_is_value (const char *value, size_t length);
+
 /* True when the comma-separated LIST contains NAME, ignoring case.  */
 bool cye_headers_list_has (const char *list, const char *name);
 
--- a/src/entry/cye_health.c
+++ b/src/entry/cye_health.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "entry/cye_answer.h"
 #include "http/cyh_client.h"
 
 #define CYE_HEALTH_CONNECTIONS_MAX 256 /* connections that libcurl keeps */
@@ -15,10 +16,11 @@
   char instance[CYB_NAME_MAX];
   uint64_t incarnation;
   char *url;
-  unsigned failures; /* consecutive failed probes */
-  bool in_flight;    /* a probe is unanswered */
-  bool is_listed;    /* the pool held the server in the last round */
-  bool is_paused;    /* the server wants no requests, or few */
+  struct cye_answer_head head; /* of the newest answer */
+  unsigned failures;           /* consecutive failed probes */
+  bool in_flight;              /* a probe is unanswered */
+  bool is_listed;              /* the pool held the server in the last round */
+  bool is_paused;              /* the server wants no requests, or few */
 };
 
 struct cye_health
@@ -34,11 +36,22 @@
 probe_free (void *data)
 {
   struct probe *probe = data;
+  cye_answer_clear (&probe->head);
   g_free (probe->service);
   g_free (probe->url);
   g_free (probe);
 }
 
+static size_t
+on_header (char *line, size_t size, size_t count, void *context)
+{
+  struct probe *probe = context;
+  size_t length = size * count;
+  return cye_answer_read_line (&probe->head, line, length) == CYE_ANSWER_SOUND
+             ? length
+             : 0;
+}
+
 static size_t
 discard_body (char *bytes, size_t size, size_t count, void *context)
 {
@@ -59,6 +72,7 @@
     {
       bool v6 = strchr (server->host, ':') != NULL;
       probe = g_new0 (struct probe, 1);
+      cye_answer_init (&probe->head);
       probe->health = health;
       probe->service = g_strdup (service);
       g_strlcpy (probe->instance, server->instance, sizeof probe->instance);
@@ -80,8 +94,12 @@
 {
   CURL *easy = cyh_client_acquire (health->client);
   probe->in_flight = true;
+  cye_answer_clear (&probe->head);
+  cye_answer_init (&probe->head);
   curl_easy_setopt (easy, CURLOPT_URL, probe->url);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)CYE_HEALTH_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, probe);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, discard_body);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
@@ -96,13 +114,12 @@
 {
   struct cye_health *health = context;
   struct probe *probe = NULL;
-  long status = 0;
   curl_off_t connect_us = 0;
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &probe);
-  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (easy, CURLINFO_CONNECT_TIME_T, &connect_us);
   cyh_client_release (health->client, easy);
-  bool succeeded = code == CURLE_OK && status >= 200 && status < 300;
+  bool succeeded
+      = code == CURLE_OK && probe->head.complete && probe->head.status < 300;
   probe->in_flight = false;
   probe->failures = succeeded ? 0 : probe->failures + 1;
   if (succeeded || probe->failures >= CYE_HEALTH_FAILURES_MAX)
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -189,13 +189,10 @@
 };
 enum cye_verdict cye_classify_answer (struct cye_request *request);
 
-/* False when cye_classify_answer returns CYE_INVALID for HEAD.  */
-bool cye_is_valid_answer (const struct cye_request *request,
-                          const struct cye_answer_head *head);
-
-/* Returns the value of header NAME of HEAD, NULL if there is none.  */
-const char *cye_answer_header (const struct cye_answer_head *head,
-                               const char *name);
+/* Why cye_classify_answer returns CYE_INVALID for HEAD, CYE_ANSWER_SOUND if it
+   does not.  */
+enum cye_answer_fault cye_check_answer (const struct cye_request *request,
+                                        const struct cye_answer_head *head);
 
 /* Continues REQUEST in the worker's thread with the result that another thread
    posted.  */
--- a/tests/path/raw_server.h
+++ b/tests/path/raw_server.h
@@ -49,7 +49,9 @@
   uint16_t port;
   pthread_t thread;
   struct raw_script script;
-  const char *more;    /* second text; set before the first request */
+  const char *more; /* second text; set before the first request */
+  /* Answer to a probe of /health, NULL: RAW_OK; set before the first one.  */
+  const char *health;
   atomic_int lost;     /* the first so many connections are never answered */
   atomic_int requests; /* complete requests, except of /health */
   atomic_int connections; /* with a request other than of /health */
@@ -160,7 +162,8 @@
     {
       if (strncmp (buffer, "GET /health ", 12) == 0)
         {
-          open = send (conn->fd, RAW_OK, strlen (RAW_OK), MSG_NOSIGNAL) > 0;
+          const char *health = server->health ? server->health : RAW_OK;
+          open = send (conn->fd, health, strlen (health), MSG_NOSIGNAL) > 0;
           continue;
         }
       pthread_mutex_lock (&server->lock);
--- a/tests/path/test_answer_head.c
+++ b/tests/path/test_answer_head.c
@@ -89,6 +89,26 @@
     502 },
 };
 
+/* Time in which probes take a server out of use, us: two probes, a second
+   apart, of at most a second.  */
+#define PROBE_BOUND_US 5000000
+
+static const struct
+{
+  const char *pattern;
+  const char *text; /* answer to each probe */
+  long status;      /* of requests after the bound */
+} probe_rows[] = {
+  { "healthy", "HTTP/1.1 200 OK" BODY, 200 },
+  { "an interim answer first",
+    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK" BODY, 200 },
+  { "a failure", "HTTP/1.1 500 Error" BODY, 503 },
+  { "status 000", "HTTP/1.1 000 None" BODY, 503 },
+  { "version 2", "HTTP/2 200 OK" BODY, 503 },
+  { "a letter after the digits", "HTTP/1.1 200OK" BODY, 503 },
+  { "two lengths", HEADER "Content-Length: 1\r\n" END, 503 },
+};
+
 /* A POST that may have run is not sent again, so that the answer to the first
    sending decides.  */
 START_TEST (test_answer)
@@ -117,6 +137,33 @@
 }
 END_TEST
 
+/* Guards against a probe that takes for healthy what is no answer: the server
+   would go on getting requests.  */
+START_TEST (test_probe)
+{
+  struct raw_script script = { RAW_ANSWER, RAW_ANSWER, NULL };
+  struct raw_server *server = raw_server_start (script);
+  server->health = probe_rows[_i].text;
+  fixture_prepare (false);
+  fixture_add_backend ("b1", server->port, false);
+  fixture_start ();
+  CURL *easy = curl_easy_init ();
+  long status = 0;
+  gint64 until = g_get_monotonic_time () + PROBE_BOUND_US;
+  while (g_get_monotonic_time () < until && status != 503)
+    {
+      struct reply reply
+          = send_request (easy, "GET", "/", FIXTURE_KEY, NULL, NULL);
+      status = reply.status;
+      reply_clear (&reply);
+    }
+  ck_assert_msg (status == probe_rows[_i].status, "%s: %ld",
+                 probe_rows[_i].pattern, status);
+  curl_easy_cleanup (easy);
+  fixture_stop ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -124,6 +171,7 @@
   TCase *tcase = tcase_create ("answer_head");
   tcase_set_timeout (tcase, 30);
   tcase_add_loop_test (tcase, test_answer, 0, G_N_ELEMENTS (rows));
+  tcase_add_loop_test (tcase, test_probe, 0, G_N_ELEMENTS (probe_rows));
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
