--- a/src/cyctl/cyctl_timeline.c
+++ b/src/cyctl/cyctl_timeline.c
@@ -250,6 +250,7 @@
   const json_t *fields = request_lines->attempt_line->fields;
   const char *instance = get_text (fields, "instance");
   const char *result = get_text (fields, "result");
+  const char *fault = get_text (fields, "fault");
   if (get_flag (fields, "not_run"))
     g_string_append_printf (
         out, "backend server %s said that it did not run it", instance);
@@ -259,6 +260,10 @@
   else if (strcmp (result, "CY_E_TIMEOUT") == 0)
     g_string_append_printf (
         out, "backend server %s did not answer before the deadline", instance);
+  else if (fault[0] != '\0' && strcmp (fault, "none") != 0)
+    g_string_append_printf (
+        out, "what came back from backend server %s was not its answer (%s)",
+        instance, fault);
   else if (strcmp (result, "CY_E_ANSWER_INVALID") == 0)
     g_string_append_printf (
         out, "what came back from backend server %s was not its answer",
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -292,6 +292,29 @@
   g_string_free (rest, TRUE);
 }
 
+/* Why the answer to the attempt is refused, CYE_ANSWER_SOUND if it is not or
+   none was received.  */
+static enum cye_answer_fault
+answer_fault (const struct cye_request *request)
+{
+  const struct cye_answer_head *head = cye_call_head (request->call);
+  return head->complete ? cye_check_answer (request, head) : head->fault;
+}
+
+static void
+count_fault (enum cye_answer_fault fault)
+{
+  if (fault == CYE_ANSWER_SOUND)
+    return;
+  char *labels
+      = g_strdup_printf ("fault=\"%s\"", cye_answer_fault_name (fault));
+  cyu_metric_add (cyu_counter ("cy_entry_answers_refused_total", labels,
+                               "answers of backend servers that were not "
+                               "passed on"),
+                  1);
+  g_free (labels);
+}
+
 /* Logs an attempt without a good answer.  AGAIN: a retry follows.  DECLINED:
    the backend server did not run the request.  */
 static void
@@ -305,12 +328,14 @@
   cye_call_times (request->call, &times);
   cyu_event (
       CYU_FAULT, "attempt_failed",
-      "{ss? ss ss ss si sI ss si sb sb sb sb si si sb si}", "id",
+      "{ss? ss ss ss si sI ss si ss ss sb sb sb sb si si sb si}", "id",
       request->request_id, "workspace", request->workspace, "service",
       request->target.service, "instance", request->ticket.instance, "attempt",
       request->attempt_count, "born", (json_int_t)request->place.incarnation,
       "result", cy_result_name (result), "status",
-      cye_call_head (request->call)->status, "sent",
+      cye_call_head (request->call)->status, "fault",
+      cye_answer_fault_name (answer_fault (request)), "status_line",
+      cye_call_head (request->call)->status_line, "sent",
       cye_call_sent (request->call), "kept_connection",
       cye_call_reused (request->call), "not_run", declined, "again", again,
       "connect_ms", (int)(times.connect / CY_NS_PER_MS), "first_byte_ms",
@@ -357,6 +382,7 @@
   bool sent = cye_call_sent (request->call) && !declined;
   bool expired = cye_call_expired (request->call);
   bool again = may_retry (request, declined);
+  count_fault (answer_fault (request));
   log_attempt (request, result, again, declined);
   request->reached_server
       = request->reached_server || cye_call_sent (request->call);
