--- a/tests/path/raw_server.h
+++ b/tests/path/raw_server.h
@@ -18,6 +18,7 @@
 #define RAW_REQUEST_MAX 65536  /* bytes */
 #define RAW_LATE_US     900000 /* delay of RAW_LATE */
 #define RAW_RESET_US    2000   /* in which the text of a reset arrives */
+#define RAW_PIECE_US    20000  /* between two pieces of an answer */
 #define RAW_OK          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 /* Action on a request.  */
@@ -32,6 +33,9 @@
   RAW_LATE,             /* sends the script's text after RAW_LATE_US */
   RAW_SILENT,           /* reads the request and never answers */
   RAW_MORE,             /* sends the server's field MORE */
+  RAW_MORE_AND_ANSWER,  /* sends MORE, the script's text after RAW_PIECE_US */
+  RAW_OK_AND_MORE,      /* the server's first request: sends RAW_OK, and MORE
+                           after RAW_PIECE_US; others: the script's text */
   RAW_ENDLESS /* sends the script's text, then MORE repeatedly until the
                  connection closes */
 };
@@ -56,6 +60,7 @@
   atomic_int requests; /* complete requests, except of /health */
   atomic_int connections; /* with a request other than of /health */
   atomic_int closed;      /* part of CONNECTIONS that the other side closed */
+  atomic_int pieces;      /* MORE was sent so often after RAW_OK */
   atomic_long bytes;      /* bytes sent by RAW_ENDLESS */
   pthread_mutex_t lock;
   char last[RAW_REQUEST_MAX]; /* the newest request */
@@ -142,6 +147,20 @@
     case RAW_MORE:
       text = conn->server->more;
       return send (conn->fd, text, strlen (text), MSG_NOSIGNAL) > 0;
+    case RAW_MORE_AND_ANSWER:
+      send (conn->fd, conn->server->more, strlen (conn->server->more),
+            MSG_NOSIGNAL);
+      usleep (RAW_PIECE_US);
+      return send (conn->fd, text, strlen (text), MSG_NOSIGNAL) > 0;
+    case RAW_OK_AND_MORE:
+      if (atomic_load (&conn->server->requests) > 1)
+        return send (conn->fd, text, strlen (text), MSG_NOSIGNAL) > 0;
+      send (conn->fd, RAW_OK, strlen (RAW_OK), MSG_NOSIGNAL);
+      usleep (RAW_PIECE_US);
+      send (conn->fd, conn->server->more, strlen (conn->server->more),
+            MSG_NOSIGNAL);
+      atomic_fetch_add (&conn->server->pieces, 1);
+      return true;
     case RAW_ENDLESS:
       raw_send_endless (conn, text);
       return false;
