No request is sent on a connection with unread input; joined heads are refused

Callers got a success where the server had answered a failure (MIXED). Class: what is left on a connection is read as the start of the next answer.

Before a request goes out on a persistent connection, its socket is looked at: with unread input or the server's end on it nothing is sent, and the same attempt starts again on a new connection (counted in cy_entry_stale_connections_total). Bytes that arrive later join the answer's head; a reason or a value that holds a status line is refused, as is a control character in a reason. A head of more than 200 headers is refused and not read in part, and a name of a header holds no zero byte.

Not covered: libcurl drops surplus bytes after chunks, after 204 and after an empty body when they arrive together with the answer, and keeps the connection.

--- a/src/entry/cye_answer.c
+++ b/src/entry/cye_answer.c
@@ -108,6 +108,26 @@
 
 /* ------------------------------------------------------------ lines */
 
+/* True when the LENGTH bytes at TEXT hold the start of a status line: the head
+   of an answer that was cut off is continued by another answer.  */
+static bool
+holds_status_line (const char *text, size_t length)
+{
+  static const char prefix[] = "HTTP/1.";
+  const char *end = text + length;
+  while (
+      (text = memmem (text, (size_t)(end - text), prefix, sizeof prefix - 1))
+      != NULL)
+    {
+      text += sizeof prefix - 1;
+      if (end - text >= 5 && g_ascii_isdigit (text[0]) && text[1] == ' '
+          && g_ascii_isdigit (text[2]) && g_ascii_isdigit (text[3])
+          && g_ascii_isdigit (text[4]))
+        return true;
+    }
+  return false;
+}
+
 static void
 store_status_line (struct cye_answer_head *head, const char *line,
                    size_t length)
@@ -133,7 +153,9 @@
   if (length < reason_at || memcmp (line, prefix, minor_at) != 0
       || (line[minor_at] != '0' && line[minor_at] != '1')
       || line[minor_at + 1] != ' '
-      || (length > reason_at && line[reason_at] != ' '))
+      || (length > reason_at && line[reason_at] != ' ')
+      || !cye_headers_is_value (line + reason_at, length - reason_at)
+      || holds_status_line (line + reason_at, length - reason_at))
     return CYE_ANSWER_STATUS_LINE;
   long status = 0;
   for (size_t i = status_at; i < reason_at; i++)
@@ -170,10 +192,11 @@
   const char *value = colon + 1;
   const char *end = line + length;
   trim (&value, &end);
-  if (!cye_headers_is_value (value, (size_t)(end - value)))
+  if (!cye_headers_is_value (value, (size_t)(end - value))
+      || holds_status_line (value, (size_t)(end - value)))
     return CYE_ANSWER_HEADER_LINE;
   if (head->names->len >= CYE_ANSWER_HEADERS_MAX)
-    return CYE_ANSWER_SOUND;
+    return CYE_ANSWER_TOO_LARGE;
   g_ptr_array_add (head->names, g_strndup (line, (gsize)(colon - line)));
   g_ptr_array_add (head->values, g_strndup (value, (gsize)(end - value)));
   return CYE_ANSWER_SOUND;
--- a/src/entry/cye_answer.h
+++ b/src/entry/cye_answer.h
@@ -11,7 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define CYE_ANSWER_HEADERS_MAX 200   /* further headers are dropped */
+#define CYE_ANSWER_HEADERS_MAX 200   /* of one head */
 #define CYE_ANSWER_BYTES_MAX   32768 /* of its heads and its trailers */
 #define CYE_ANSWER_LINES_MAX   1000  /* of them; libcurl keeps each one */
 #define CYE_STATUS_LINE_MAX    64    /* bytes of it stored for the log */
--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -19,6 +19,8 @@
   uint64_t body_bytes;    /* received of the answer's body */
   uint64_t sent_bytes;    /* passed to libcurl of the request's body */
   bool opened_connection; /* libcurl opened a connection for the call */
+  curl_socket_t socket;   /* of the opened connection */
+  bool stale; /* it was not sent: the connection had unread input or its end */
   bool expired;   /* it was not sent: SEND_BY or MAY_SEND of the options */
   int send_count; /* times that libcurl sent the request: 0 or 1 */
   cy_time_ns sent_at;
@@ -92,10 +94,9 @@
 before_send (void *context, char *ip, char *local_ip, int port, int local_port)
 {
   (void)ip;
-  (void)local_ip;
   (void)port;
-  (void)local_port;
   struct cye_call *call = context;
+  struct cyh_client *client = call->options.client;
   cy_time_ns now = cy_clock_now (call->options.clock);
   if (call->send_count > 0)
     return CURL_PREREQFUNC_ABORT;
@@ -105,6 +106,13 @@
                       && !options->may_send (options->context));
   if (call->expired)
     return CURL_PREREQFUNC_ABORT;
+  if (call->opened_connection)
+    cyh_client_add_socket (client, call->socket, local_ip, local_port);
+  else if (!cyh_client_is_clean (client, local_ip, local_port))
+    {
+      call->stale = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
   call->send_count++;
   call->sent_at = now;
   return CURL_PREREQFUNC_OK;
@@ -117,6 +125,7 @@
   struct cye_call *call = context;
   unsigned timeout = CYE_USER_TIMEOUT_MS;
   call->opened_connection = true;
+  call->socket = fd;
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
   return CURL_SOCKOPT_OK;
 }
@@ -245,6 +254,7 @@
   curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPINTVL, CYE_KEEPALIVE_S);
   curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, set_socket);
   curl_easy_setopt (call->easy, CURLOPT_SOCKOPTDATA, call);
+  cyh_client_track (options->client, call->easy);
 }
 
 static void
@@ -450,6 +460,12 @@
   return call->expired;
 }
 
+bool
+cye_call_stale (const struct cye_call *call)
+{
+  return call->stale;
+}
+
 bool
 cye_call_reused (const struct cye_call *call)
 {
--- a/src/entry/cye_call.h
+++ b/src/entry/cye_call.h
@@ -134,6 +134,10 @@
    returned false.  */
 bool cye_call_expired (const struct cye_call *call);
 
+/* True when the request was not sent because the persistent connection had
+   unread input or was closed.  */
+bool cye_call_stale (const struct cye_call *call);
+
 /* True when the request was sent on a persistent connection.  */
 bool cye_call_reused (const struct cye_call *call);
 
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -168,7 +168,9 @@
       return;
     }
   prepare_headers (request, left_ms);
-  bool new_connection = record_address (request);
+  bool new_connection
+      = record_address (request) || request->needs_new_connection;
+  request->needs_new_connection = false;
   request->attempt_count++;
   request->stage = CYE_CALLING;
   memset (&request->load, 0, sizeof request->load);
@@ -462,6 +464,23 @@
   return true;
 }
 
+/* Starts an attempt again that found a stale connection, on a new one; nothing
+   of it was sent.  */
+static void
+restart_attempt (struct cye_request *request)
+{
+  static struct cyu_metric *metric;
+  if (metric == NULL)
+    metric = cyu_counter ("cy_entry_stale_connections_total", "",
+                          "persistent connections with unread input or "
+                          "closed by the server, found before sending");
+  cyu_metric_add (metric, 1);
+  drop_call (request);
+  request->attempt_count--;
+  request->needs_new_connection = true;
+  cye_forward_start (request);
+}
+
 void
 cye_forward_step (struct cye_request *request)
 {
@@ -473,6 +492,11 @@
   if (request->upload.cut && cye_call_has_whole_answer (call))
     cye_call_stop_sending (call);
   bool ended = cye_call_ended (call);
+  if (ended && request->stage == CYE_CALLING && cye_call_stale (call))
+    {
+      restart_attempt (request);
+      return;
+    }
   if (ended && request->has_slot)
     {
       bool timed_out = cye_call_reused (call)
--- a/src/entry/cye_headers.c
+++ b/src/entry/cye_headers.c
@@ -54,7 +54,7 @@
 {
   for (size_t i = 0; i < length; i++)
     if (!g_ascii_isalnum (name[i])
-        && strchr ("!#$%&'*+-.^_`|~", name[i]) == NULL)
+        && (name[i] == '\0' || strchr ("!#$%&'*+-.^_`|~", name[i]) == NULL))
       return false;
   return length > 0;
 }
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -85,6 +85,7 @@
   struct cye_call *call; /* attempt in progress or answered, NULL: none */
   struct curl_slist *call_headers; /* headers of the newest attempt */
   int attempt_count;
+  bool needs_new_connection; /* the newest attempt found a stale one */
   bool may_have_run; /* an earlier attempt was sent and the server did not
                         decline it */
   char avoid_instance[CYB_NAME_MAX]; /* server of the attempt that failed last,
--- a/src/http/cyh_client.c
+++ b/src/http/cyh_client.c
@@ -1,8 +1,13 @@
 #include "http/cyh_client.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
-#include <stdbool.h>
+#include <netinet/in.h>
+#include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define CYH_SPARE_HANDLES_MAX 256 /* easy handles stored for reuse */
 
@@ -15,6 +20,7 @@
   void (*after_round) (void *context);
   void *context;
   GPtrArray *spare_handles; /* CURL, owned */
+  GHashTable *sockets;      /* "HOST PORT" of this end to the socket */
 };
 
 void
@@ -132,6 +138,81 @@
   report_ended (client);
 }
 
+/* ------------------------------------------------------------ sockets */
+
+static char *
+socket_key (const char *host, int port)
+{
+  return g_strdup_printf ("%s %d", host, port);
+}
+
+/* Key of the local end of FD, NULL if it has none.  */
+static char *
+read_socket_key (curl_socket_t fd)
+{
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in v4;
+    struct sockaddr_in6 v6;
+  } local;
+  char host[INET6_ADDRSTRLEN];
+  socklen_t length = sizeof local;
+  memset (&local, 0, sizeof local);
+  if (getsockname (fd, &local.any, &length) != 0)
+    return NULL;
+  if (local.any.sa_family == AF_INET
+      && inet_ntop (AF_INET, &local.v4.sin_addr, host, sizeof host) != NULL)
+    return socket_key (host, ntohs (local.v4.sin_port));
+  if (local.any.sa_family == AF_INET6
+      && inet_ntop (AF_INET6, &local.v6.sin6_addr, host, sizeof host) != NULL)
+    return socket_key (host, ntohs (local.v6.sin6_port));
+  return NULL;
+}
+
+static int
+close_socket (void *context, curl_socket_t fd)
+{
+  struct cyh_client *client = context;
+  char *key = read_socket_key (fd);
+  gpointer known;
+  if (key != NULL
+      && g_hash_table_lookup_extended (client->sockets, key, NULL, &known)
+      && GPOINTER_TO_INT (known) == fd)
+    g_hash_table_remove (client->sockets, key);
+  g_free (key);
+  return close (fd);
+}
+
+void
+cyh_client_add_socket (struct cyh_client *client, curl_socket_t fd,
+                       const char *local_host, int local_port)
+{
+  g_hash_table_replace (client->sockets, socket_key (local_host, local_port),
+                        GINT_TO_POINTER (fd));
+}
+
+void
+cyh_client_track (struct cyh_client *client, CURL *easy)
+{
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, client);
+}
+
+bool
+cyh_client_is_clean (const struct cyh_client *client, const char *local_host,
+                     int local_port)
+{
+  char *key = socket_key (local_host, local_port);
+  gpointer fd;
+  bool known = g_hash_table_lookup_extended (client->sockets, key, NULL, &fd);
+  char byte;
+  g_free (key);
+  return known
+         && recv (GPOINTER_TO_INT (fd), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 /* ------------------------------------------------------------ public */
 
 struct cyh_client *
@@ -143,6 +224,8 @@
   client->after_round = options->after_round;
   client->context = options->context;
   client->spare_handles = g_ptr_array_new ();
+  client->sockets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   client->timer = cyn_timer_create (options->loop, on_timer, client);
   client->multi = curl_multi_init ();
   if (client->multi == NULL)
@@ -166,6 +249,7 @@
     curl_easy_cleanup (g_ptr_array_index (client->spare_handles, i));
   g_ptr_array_free (client->spare_handles, TRUE);
   curl_multi_cleanup (client->multi);
+  g_hash_table_destroy (client->sockets);
   cyn_timer_destroy (client->timer);
   g_free (client);
 }
--- a/src/http/cyh_client.h
+++ b/src/http/cyh_client.h
@@ -5,6 +5,7 @@
 #define CYH_CLIENT_H
 
 #include <curl/curl.h>
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "net/cyn_loop.h"
@@ -44,6 +45,21 @@
    gives it back with cyh_client_release.  */
 CURL *cyh_client_acquire (struct cyh_client *client);
 
+/* Records that FD, which EASY has opened, is the socket of the connection from
+   port LOCAL_PORT of address LOCAL_HOST.  EASY then needs cyh_client_track. */
+void cyh_client_add_socket (struct cyh_client *client, curl_socket_t fd,
+                            const char *local_host, int local_port);
+
+/* Lets EASY report the end of its connections, which may outlive it.  Before
+   cyh_client_add.  */
+void cyh_client_track (struct cyh_client *client, CURL *easy);
+
+/* True when the recorded connection from LOCAL_PORT of LOCAL_HOST is open and
+   has no unread input.  A persistent connection with unread input has received
+   bytes that belong to no request: the next answer would continue them.  */
+bool cyh_client_is_clean (const struct cyh_client *client,
+                          const char *local_host, int local_port);
+
 /* Takes back EASY, which cyh_client_acquire returned and which is in no
    transfer.  */
 void cyh_client_release (struct cyh_client *client, CURL *easy);
