A request under which backend servers end is blocked

Callers saw: a request that ends each server that runs it was sent on from server to server, by retries and by each caller that sent it again.

Cause: nothing connected the end of a server with the request that ran there. Each entry VM sees such a request about once.

Change: entry VMs send the placer a fingerprint of the request (method, host, path, query, and the body if it is read whole) and report that a connection ended without a byte of an answer. An answer to the request, or the server's answer to a request placed later, clears it.

--- a/include/cy_result.h
+++ b/include/cy_result.h
@@ -74,6 +74,7 @@
   X (CY_E_RETRY_BUDGET, 621, "budget of repeated requests is spent")          \
   X (CY_E_ANSWER_INVALID, 622, "backend server's answer is not valid")        \
   X (CY_E_METHOD_TOO_LONG, 623, "method of the request is too long")          \
+  X (CY_E_POISON_REQUEST, 624, "backend servers ended under this request")    \
   X (CY_E_PLAN_NO_ROOM, 700, "regions have no room for the move")             \
   X (CY_E_PLAN_STALE, 701, "measurements are too old to plan with")           \
   X (CY_E_CAP_INVALID, 702, "cap is out of range")                            \
--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -2527,6 +2527,51 @@
   assert(message->base.descriptor == &cy__hub_sync__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cy__poison_end__init
+                     (Cy__PoisonEnd         *message)
+{
+  static const Cy__PoisonEnd init_value = CY__POISON_END__INIT;
+  *message = init_value;
+}
+size_t cy__poison_end__get_packed_size
+                     (const Cy__PoisonEnd *message)
+{
+  assert(message->base.descriptor == &cy__poison_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cy__poison_end__pack
+                     (const Cy__PoisonEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cy__poison_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cy__poison_end__pack_to_buffer
+                     (const Cy__PoisonEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cy__poison_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cy__PoisonEnd *
+       cy__poison_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cy__PoisonEnd *)
+     protobuf_c_message_unpack (&cy__poison_end__descriptor,
+                                allocator, len, data);
+}
+void   cy__poison_end__free_unpacked
+                     (Cy__PoisonEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cy__poison_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cy__placed_count__init
                      (Cy__PlacedCount         *message)
 {
@@ -9025,7 +9070,7 @@
   (ProtobufCMessageInit) cy__control_vm__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__hub_sync__field_descriptors[22] =
+static const ProtobufCFieldDescriptor cy__hub_sync__field_descriptors[23] =
 {
   {
     "self",
@@ -9291,6 +9336,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "poison",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cy__HubSync, n_poison),
+    offsetof(Cy__HubSync, poison),
+    &cy__poison_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__hub_sync__field_indices_by_name[] = {
   16,   /* field[16] = attached */
@@ -9307,6 +9364,7 @@
   20,   /* field[20] = leaving */
   11,   /* field[11] = loans */
   18,   /* field[18] = placed */
+  22,   /* field[22] = poison */
   5,   /* field[5] = renewed */
   17,   /* field[17] = rests */
   0,   /* field[0] = self */
@@ -9319,7 +9377,7 @@
 static const ProtobufCIntRange cy__hub_sync__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor cy__hub_sync__descriptor =
 {
@@ -9329,13 +9387,103 @@
   "Cy__HubSync",
   "cy",
   sizeof(Cy__HubSync),
-  22,
+  23,
   cy__hub_sync__field_descriptors,
   cy__hub_sync__field_indices_by_name,
   1,  cy__hub_sync__number_ranges,
   (ProtobufCMessageInit) cy__hub_sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cy__poison_end__field_descriptors[5] =
+{
+  {
+    "work",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PoisonEnd, work),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instance",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PoisonEnd, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PoisonEnd, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PoisonEnd, cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PoisonEnd, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cy__poison_end__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = born */
+  3,   /* field[3] = cleared */
+  1,   /* field[1] = instance */
+  0,   /* field[0] = work */
+};
+static const ProtobufCIntRange cy__poison_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cy__poison_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cy.PoisonEnd",
+  "PoisonEnd",
+  "Cy__PoisonEnd",
+  "cy",
+  sizeof(Cy__PoisonEnd),
+  5,
+  cy__poison_end__field_descriptors,
+  cy__poison_end__field_indices_by_name,
+  1,  cy__poison_end__number_ranges,
+  (ProtobufCMessageInit) cy__poison_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cy__placed_count__field_descriptors[4] =
 {
   {
@@ -10031,7 +10179,7 @@
   (ProtobufCMessageInit) cy__entry_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__place_ask__field_descriptors[20] =
+static const ProtobufCFieldDescriptor cy__place_ask__field_descriptors[21] =
 {
   {
     "number",
@@ -10273,6 +10421,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlaceAsk, work),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__place_ask__field_indices_by_name[] = {
   8,   /* field[8] = affinity */
@@ -10293,13 +10453,14 @@
   2,   /* field[2] = route */
   5,   /* field[5] = route_rank */
   1,   /* field[1] = service */
+  20,   /* field[20] = work */
   3,   /* field[3] = workspace */
   13,   /* field[13] = zone */
 };
 static const ProtobufCIntRange cy__place_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor cy__place_ask__descriptor =
 {
@@ -10309,7 +10470,7 @@
   "Cy__PlaceAsk",
   "cy",
   sizeof(Cy__PlaceAsk),
-  20,
+  21,
   cy__place_ask__field_descriptors,
   cy__place_ask__field_indices_by_name,
   1,  cy__place_ask__number_ranges,
@@ -10471,7 +10632,7 @@
   (ProtobufCMessageInit) cy__place_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__place_done__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cy__place_done__field_descriptors[14] =
 {
   {
     "number",
@@ -10629,6 +10790,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reset",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PlaceDone, reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__place_done__field_indices_by_name[] = {
   2,   /* field[2] = answer_us */
@@ -10640,6 +10813,7 @@
   3,   /* field[3] = loaded */
   0,   /* field[0] = number */
   9,   /* field[9] = pause_ms */
+  13,   /* field[13] = reset */
   4,   /* field[4] = running */
   6,   /* field[6] = slots */
   12,   /* field[12] = unlimited */
@@ -10648,7 +10822,7 @@
 static const ProtobufCIntRange cy__place_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cy__place_done__descriptor =
 {
@@ -10658,7 +10832,7 @@
   "Cy__PlaceDone",
   "cy",
   sizeof(Cy__PlaceDone),
-  13,
+  14,
   cy__place_done__field_descriptors,
   cy__place_done__field_indices_by_name,
   1,  cy__place_done__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -71,6 +71,7 @@
 typedef struct Cy__EntryVm Cy__EntryVm;
 typedef struct Cy__ControlVm Cy__ControlVm;
 typedef struct Cy__HubSync Cy__HubSync;
+typedef struct Cy__PoisonEnd Cy__PoisonEnd;
 typedef struct Cy__PlacedCount Cy__PlacedCount;
 typedef struct Cy__Loan Cy__Loan;
 typedef struct Cy__SlotNeed Cy__SlotNeed;
@@ -1647,10 +1648,41 @@
   Cy__TokenNeed **token_needs;
   size_t n_placed;
   Cy__PlacedCount **placed;
+  size_t n_poison;
+  Cy__PoisonEnd **poison;
 };
 #define CY__HUB_SYNC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__hub_sync__descriptor) \
-    , NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * End of a backend server under a request, see core/cym_poison.h.
+ */
+struct  Cy__PoisonEnd
+{
+  ProtobufCMessage base;
+  /*
+   * as in PlaceAsk
+   */
+  uint64_t work;
+  char *instance;
+  /*
+   * start time of the server in unix ms
+   */
+  uint64_t born;
+  /*
+   * the request did not end the server
+   */
+  protobuf_c_boolean cleared;
+  /*
+   * time since the end
+   */
+  uint32_t age_ms;
+};
+#define CY__POISON_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cy__poison_end__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -1949,10 +1981,14 @@
    * the request again.
    */
   protobuf_c_boolean counted;
+  /*
+   * Hash of method, host, path, query and body, 0: none.
+   */
+  uint64_t work;
 };
 #define CY__PLACE_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__place_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Cy__PlaceAnswer
@@ -2029,10 +2065,15 @@
    * the answer was a success without a limit
    */
   protobuf_c_boolean unlimited;
+  /*
+   * The request was sent, and the connection ended without a byte of an
+   * answer.
+   */
+  protobuf_c_boolean reset;
 };
 #define CY__PLACE_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__place_done__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -3226,6 +3267,25 @@
 void   cy__hub_sync__free_unpacked
                      (Cy__HubSync *message,
                       ProtobufCAllocator *allocator);
+/* Cy__PoisonEnd methods */
+void   cy__poison_end__init
+                     (Cy__PoisonEnd         *message);
+size_t cy__poison_end__get_packed_size
+                     (const Cy__PoisonEnd   *message);
+size_t cy__poison_end__pack
+                     (const Cy__PoisonEnd   *message,
+                      uint8_t             *out);
+size_t cy__poison_end__pack_to_buffer
+                     (const Cy__PoisonEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Cy__PoisonEnd *
+       cy__poison_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cy__poison_end__free_unpacked
+                     (Cy__PoisonEnd *message,
+                      ProtobufCAllocator *allocator);
 /* Cy__PlacedCount methods */
 void   cy__placed_count__init
                      (Cy__PlacedCount         *message);
@@ -3719,6 +3779,9 @@
 typedef void (*Cy__HubSync_Closure)
                  (const Cy__HubSync *message,
                   void *closure_data);
+typedef void (*Cy__PoisonEnd_Closure)
+                 (const Cy__PoisonEnd *message,
+                  void *closure_data);
 typedef void (*Cy__PlacedCount_Closure)
                  (const Cy__PlacedCount *message,
                   void *closure_data);
@@ -3832,6 +3895,7 @@
 extern const ProtobufCMessageDescriptor cy__entry_vm__descriptor;
 extern const ProtobufCMessageDescriptor cy__control_vm__descriptor;
 extern const ProtobufCMessageDescriptor cy__hub_sync__descriptor;
+extern const ProtobufCMessageDescriptor cy__poison_end__descriptor;
 extern const ProtobufCMessageDescriptor cy__placed_count__descriptor;
 extern const ProtobufCMessageDescriptor cy__loan__descriptor;
 extern const ProtobufCMessageDescriptor cy__slot_need__descriptor;
--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -88,6 +88,7 @@
   /* Limits of incarnations that are not in the register: "ID/INCARNATION" to
      struct cym_limit.  */
   GHashTable *parked_limits;
+  struct cym_poison *poison;
   struct cym_placement_stats total; /* all requests of the matcher */
   double share;                     /* usable part of the region, 0 to 1 */
   bool all_placers_known; /* the placers of all regions report their counts */
@@ -254,6 +255,11 @@
 /* Removes REQUEST from the queue, if it is there.  */
 void cym_queue_leave (struct cym_request *request);
 
+/* Puts REQUEST, a suspect one, into the queue until the trial ends:
+   CY_E_AGAIN, or returns why it is refused.  */
+cy_result cym_queue_hold (struct cym_match *match, struct cym_request *request,
+                          cy_time_ns now);
+
 /* Puts REQUEST into the queue for a server that has the object cached and no
    free slot, if this is expected to meet the latency goal and to answer before
    BEST, the best server with a free slot (NULL: none).  False: not queued.  */
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -72,6 +72,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   match->parked_limits
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  match->poison
+      = cym_poison_create (options->on_poison, options->poison_context);
   return match;
 }
 
@@ -84,6 +86,7 @@
   g_hash_table_destroy (match->services);
   g_hash_table_destroy (match->workspaces);
   g_hash_table_destroy (match->parked_limits);
+  cym_poison_destroy (match->poison);
   g_free (match);
 }
 
@@ -219,6 +222,15 @@
   return CY_E_RETRY_BUDGET;
 }
 
+static void
+start_trial (struct cym_match *match, struct cym_request *request,
+             cy_time_ns now)
+{
+  request->is_trial
+      = cym_poison_start_trial (match->poison, request->fingerprint, now);
+  request->server->trial_count += request->is_trial;
+}
+
 cy_result
 cym_place_at_server (struct cym_match *match, struct cym_request *request,
                      struct cym_server *server, cy_time_ns now)
@@ -253,6 +265,7 @@
   match->total.placed += 1;
   request->workspace_stats->placed += 1;
   cym_affinity_record (server, request->affinity);
+  start_trial (match, request, now);
   return CY_OK;
 }
 
@@ -271,6 +284,39 @@
     }
 }
 
+static void
+serve_all_servers (struct cym_match *match, struct cym_service *service,
+                   cy_time_ns now)
+{
+  struct cym_server *server = NULL;
+  CK_LIST_FOREACH (server, &service->servers, entry)
+  {
+    if (service->waiting_count == 0)
+      return;
+    serve_waiting (match, server, now);
+  }
+}
+
+static cy_time_ns
+next_sweep_at (const struct cym_service *service)
+{
+  return service->swept_at + SWEEP_INTERVAL_MS * CY_NS_PER_MS;
+}
+
+/* Checks all servers of SERVICE for slots that waiting requests can use,
+   unless the latest check was less than SWEEP_INTERVAL_MS ago.  Most slots
+   become free with an answer and are reassigned then, without this check.  */
+static void
+sweep_servers (struct cym_match *match, struct cym_service *service,
+               cy_time_ns now)
+{
+  service->sweep_due = now < next_sweep_at (service);
+  if (service->sweep_due)
+    return;
+  serve_all_servers (match, service, now);
+  service->swept_at = now;
+}
+
 /* Gives waiting requests what the limits of servers allow since the latest
    check, so that a new request does not get it first.  */
 static void
@@ -322,6 +368,18 @@
   return result;
 }
 
+static cy_result
+refuse_poison (struct cym_match *match, struct cym_request *request,
+               cy_time_ns now)
+{
+  cy_time_ns blocked_time
+      = cym_poison_blocked_time (match->poison, request->fingerprint, now);
+  request->retry_after_ms
+      = blocked_time > 0 ? (uint32_t)(blocked_time / CY_NS_PER_MS) + 1
+                         : cym_queue_retry_after_ms (match, request, now);
+  return CY_E_POISON_REQUEST;
+}
+
 cy_result
 cym_match_place (struct cym_match *match, struct cym_request *request,
                  cy_time_ns now)
@@ -335,8 +393,13 @@
   request->retry_after_ms = 0;
   request->queued = false;
   request->preferred = NULL;
+  request->is_trial = false;
   request->remote_only = is_remote_only (match, request);
   cym_demand_measure (service, now);
+  enum cym_poison_verdict verdict
+      = cym_poison_check (match->poison, request->fingerprint, now);
+  if (verdict == CYM_POISON_REFUSE)
+    return refuse_poison (match, request, now);
   if (request->is_retry && !has_retry_left (match, request, now))
     return refuse_retry (request);
   if (!request->is_retry && !request->counted)
@@ -350,6 +413,8 @@
     return refuse_no_token (match, request, now);
   record_offered (match, request, now);
   serve_limited_servers (match, service, now);
+  if (verdict == CYM_POISON_WAIT)
+    return cym_queue_hold (match, request, now);
   struct cym_server *server = cym_choose_server (match, request, true, now);
   cy_result queue_result = CY_E_NO_ROOM;
   if (cym_queue_for_preferred (match, request, server, now))
@@ -375,7 +440,7 @@
 
 bool
 cym_match_adopt (struct cym_match *match, struct cym_request *request,
-                 const char *id, uint64_t incarnation)
+                 const char *id, uint64_t incarnation, cy_time_ns now)
 {
   struct cym_server *server = cym_match_find (match, id);
   if (server == NULL || server->incarnation != incarnation)
@@ -389,6 +454,7 @@
   server->in_flight++;
   if (request->remote_only)
     cym_demand_count_remote_only (request, 1);
+  start_trial (match, request, now);
   return true;
 }
 
@@ -407,12 +473,49 @@
     cym_limit_record (&server->limit, INFINITY, request->placed_at, now);
 }
 
+/* Records what the end of REQUEST at SERVER shows about poison requests.  Only
+   a success clears the request: a server that answers with an error may not
+   have run it.  */
+static void
+record_poison (struct cym_match *match, struct cym_server *server,
+               struct cym_request *request, enum cym_outcome outcome,
+               cy_time_ns now)
+{
+  bool answered = outcome == CYM_ANSWERED || outcome == CYM_ERROR
+                  || outcome == CYM_NOT_RUN;
+  if (request->is_trial)
+    {
+      cym_poison_end_trial (match->poison, request->fingerprint);
+      server->trial_count--;
+    }
+  request->is_trial = false;
+  if (request->reset && request->fingerprint != 0)
+    {
+      const struct cym_poison_end end = { .fingerprint = request->fingerprint,
+                                          .id = server->id,
+                                          .incarnation = server->incarnation,
+                                          .at = now };
+      cym_poison_record (match->poison, &end, request, now);
+      server->ended_at = now;
+    }
+  if (outcome == CYM_ANSWERED)
+    cym_poison_clear (match->poison, request->fingerprint, request, now);
+  if (answered && server->ended_at != 0
+      && request->placed_at > server->ended_at)
+    {
+      cym_poison_clear_server (match->poison, server->id, server->incarnation,
+                               request->placed_at, request, now);
+      server->ended_at = 0;
+    }
+}
+
 void
 cym_match_finish (struct cym_match *match, struct cym_request *request,
                   enum cym_outcome outcome, cy_time_ns answer_time,
                   const struct cym_load *load, cy_time_ns now)
 {
   struct cym_server *server = request->server;
+  bool was_trial = request->is_trial;
   if (server == NULL)
     return;
   cym_demand_measure (server->service, now);
@@ -426,7 +529,10 @@
     cym_answer_time_record (server, request, answer_time, now);
   cym_load_record (server, request->entry_vm, load, now);
   record_limit (server, request, outcome, load, now);
+  record_poison (match, server, request, outcome, now);
   serve_waiting (match, server, now);
+  if (was_trial)
+    sweep_servers (match, server->service, now);
 }
 
 void
@@ -464,13 +570,17 @@
 
 /* ------------------------------------------------------------ time */
 
+/* Finds a waiting request whose wait is over, or that is blocked.  */
 static struct cym_request *
-find_expired (const struct cym_service *service, cy_time_ns now)
+find_expired (const struct cym_match *match, const struct cym_service *service,
+              cy_time_ns now)
 {
   struct cym_request *request = NULL;
   TAILQ_FOREACH (request, &service->waiting, entry)
   {
-    if (request->wait_until <= now)
+    if (request->wait_until <= now
+        || cym_poison_check (match->poison, request->fingerprint, now)
+               == CYM_POISON_REFUSE)
       return request;
   }
   return NULL;
@@ -491,17 +601,29 @@
   return server;
 }
 
+static bool
+is_suspended (const struct cym_match *match, const struct cym_request *request,
+              cy_time_ns now)
+{
+  return cym_poison_check (match->poison, request->fingerprint, now)
+         != CYM_POISON_PLACE;
+}
+
 /* Places or refuses the waiting requests of SERVICE whose wait is over.  */
 static void
 expire_waiting (struct cym_match *match, struct cym_service *service,
                 cy_time_ns now)
 {
   struct cym_request *request = NULL;
-  while ((request = find_expired (service, now)) != NULL)
+  while ((request = find_expired (match, service, now)) != NULL)
     {
       cym_queue_leave (request);
-      struct cym_server *server = choose_at_wait_end (match, request, now);
-      if (server != NULL)
+      struct cym_server *server
+          = is_suspended (match, request, now)
+                ? NULL
+                : choose_at_wait_end (match, request, now);
+      bool suspended = is_suspended (match, request, now);
+      if (server != NULL && !suspended)
         {
           request->on_decision (
               request, cym_place_at_server (match, request, server, now));
@@ -509,43 +631,12 @@
         }
       request->waited = now - request->arrived_at;
       request->on_decision (
-          request, refuse_no_slot (match, request, CY_E_NO_ROOM, now));
+          request, suspended
+                       ? refuse_poison (match, request, now)
+                       : refuse_no_slot (match, request, CY_E_NO_ROOM, now));
     }
 }
 
-static void
-serve_all_servers (struct cym_match *match, struct cym_service *service,
-                   cy_time_ns now)
-{
-  struct cym_server *server = NULL;
-  CK_LIST_FOREACH (server, &service->servers, entry)
-  {
-    if (service->waiting_count == 0)
-      return;
-    serve_waiting (match, server, now);
-  }
-}
-
-static cy_time_ns
-next_sweep_at (const struct cym_service *service)
-{
-  return service->swept_at + SWEEP_INTERVAL_MS * CY_NS_PER_MS;
-}
-
-/* Checks all servers of SERVICE for slots that waiting requests can use,
-   unless the latest check was less than SWEEP_INTERVAL_MS ago.  Most slots
-   become free with an answer and are reassigned then, without this check.  */
-static void
-sweep_servers (struct cym_match *match, struct cym_service *service,
-               cy_time_ns now)
-{
-  service->sweep_due = now < next_sweep_at (service);
-  if (service->sweep_due)
-    return;
-  serve_all_servers (match, service, now);
-  service->swept_at = now;
-}
-
 void
 cym_match_tick (struct cym_match *match, cy_time_ns now)
 {
@@ -583,6 +674,25 @@
   return next;
 }
 
+/* ------------------------------------------------------------ poison */
+
+void
+cym_match_merge_poison (struct cym_match *match,
+                        const struct cym_poison_end *end, cy_time_ns now)
+{
+  struct cym_server *server = cym_match_find (match, end->id);
+  bool is_new = cym_poison_merge (match->poison, end, NULL, now);
+  if (is_new && !end->cleared && server != NULL
+      && server->incarnation == end->incarnation)
+    server->ended_at = now;
+}
+
+struct cym_poison *
+cym_match_poison (struct cym_match *match)
+{
+  return match->poison;
+}
+
 /* ------------------------------------------------------------ register */
 
 void
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -24,6 +24,7 @@
 
 #include "core/cy_clock.h"
 #include "core/cym_limit.h"
+#include "core/cym_poison.h"
 #include "core/cym_retry_budget.h"
 #include "cy_result.h"
 
@@ -157,6 +158,10 @@
   double remote_latency_ns;
   double error_ratio;      /* share of failed requests, moving average */
   uint64_t finished_count; /* requests that ended here, with any outcome */
+  uint32_t trial_count;    /* suspect requests in flight, see cym_poison.h */
+  /* Latest time at which the incarnation seemed to end under a request, 0:
+     never, or it has answered a request placed later.  */
+  cy_time_ns ended_at;
   /* Time for which one request occupies a slot in ns, moving average; measured
      at local servers only, 0: not measured.  */
   double service_time_ns;
@@ -195,7 +200,11 @@
   bool is_retry;     /* retry: an earlier attempt reached a server */
   /* A placer has already counted the request for the retry budget.  */
   bool counted;
-  bool metered; /* needs a token of the workspace's rate limit */
+  bool metered;         /* needs a token of the workspace's rate limit */
+  uint64_t fingerprint; /* see cym_poison.h, 0: none */
+  /* Set before cym_match_finish: the request was sent, and the connection
+     ended without a byte of an answer.  */
+  bool reset;
   char *const
       *allowed_regions; /* regions that are allowed to serve the request */
   size_t
@@ -229,7 +238,8 @@
   /* Server with the object that the request waits for; another server that is
      expected to answer earlier may get it.  NULL: waits for any server.  */
   struct cym_server *preferred;
-  bool queued; /* the request waits for a slot */
+  bool queued;   /* the request waits for a slot */
+  bool is_trial; /* placed as a suspect request */
 };
 
 /* Fleet-wide limits that the matcher enforces.  */
@@ -255,6 +265,11 @@
   uint32_t (*token_wait_ms) (void *context, const char *workspace,
                              cy_time_ns now);
   void *context; /* first argument of the three functions */
+  /* Called for every change of a poison request, see cym_poison.h; NULL: not
+     called.  The cause is the struct cym_request whose end showed it, NULL for
+     what another placer reported.  */
+  cym_poison_fn on_poison;
+  void *poison_context;
 };
 
 struct cym_match;
@@ -286,8 +301,8 @@
 
 /* Places REQUEST.  CY_OK: at its server.  CY_E_AGAIN: the request waits, and
    its callback gets the result.  CY_E_NO_ROOM, CY_E_QUEUE_FULL,
-   CY_E_NO_BACKEND, CY_E_DEADLINE, CY_E_RATE_EXCEEDED, CY_E_RETRY_BUDGET: the
-   request is refused.  */
+   CY_E_NO_BACKEND, CY_E_DEADLINE, CY_E_RATE_EXCEEDED, CY_E_RETRY_BUDGET,
+   CY_E_POISON_REQUEST: the request is refused.  */
 cy_result cym_match_place (struct cym_match *match,
                            struct cym_request *request, cy_time_ns now);
 
@@ -298,7 +313,7 @@
    ID, as in flight here.  False when this matcher does not have that
    incarnation.  */
 bool cym_match_adopt (struct cym_match *match, struct cym_request *request,
-                      const char *id, uint64_t incarnation);
+                      const char *id, uint64_t incarnation, cy_time_ns now);
 
 /* Records the end of REQUEST, which was placed, and gives the free slot to a
    waiting request.  ANSWER_TIME is the time in ns from sending to the first
@@ -389,6 +404,15 @@
 void cym_match_each_retry_count (const struct cym_match *match,
                                  cym_retry_count_fn each, void *context);
 
+/* ------------------------------------------------------------ poison */
+
+/* Records END, which another placer reported.  */
+void cym_match_merge_poison (struct cym_match *match,
+                             const struct cym_poison_end *end, cy_time_ns now);
+
+/* The matcher's poison requests, which belong to it, to report them.  */
+struct cym_poison *cym_match_poison (struct cym_match *match);
+
 /* ------------------------------------------------------------ queries */
 
 /* Use of the servers of one service.  */
--- a/src/core/cym_queue.c
+++ b/src/core/cym_queue.c
@@ -139,7 +139,9 @@
   struct queue_priority best_priority = { 0 };
   TAILQ_FOREACH (request, &server->service->waiting, entry)
   {
-    if (!cym_may_place (match, server, request, now))
+    if (!cym_may_place (match, server, request, now)
+        || cym_poison_check (match->poison, request->fingerprint, now)
+               != CYM_POISON_PLACE)
       continue;
     double answer_ns = cym_expected_answer_ns (server, request, now);
     if (answer_ns > (double)(request->deadline_at - now)
@@ -308,6 +310,28 @@
   return CY_E_AGAIN;
 }
 
+cy_result
+cym_queue_hold (struct cym_match *match, struct cym_request *request,
+                cy_time_ns now)
+{
+  const struct cym_service *service = request->service_state;
+  double answer_ns = request->route_stats->service_time_ns > 0
+                         ? request->route_stats->service_time_ns
+                         : service->service_time_ns;
+  double goal_slack_ns = (double)(request->goal_at - now) - answer_ns;
+  double deadline_slack_ns = (double)(request->deadline_at - now) - answer_ns;
+  double wait_max_ns
+      = fmin (fmax (goal_slack_ns, (double)request->wait_past_goal),
+              deadline_slack_ns);
+  if (wait_max_ns <= 0 || service->waiting_count >= WAITING_MAX_COUNT)
+    {
+      request->retry_after_ms = cym_queue_retry_after_ms (match, request, now);
+      return CY_E_POISON_REQUEST;
+    }
+  enqueue (request, NULL, now + (cy_time_ns)wait_max_ns);
+  return CY_E_AGAIN;
+}
+
 bool
 cym_queue_for_preferred (struct cym_match *match, struct cym_request *request,
                          const struct cym_server *best, cy_time_ns now)
--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -32,8 +32,9 @@
   cy_time_ns paused_time; /* ns, sum of the pauses of the body */
   cy_time_ns paused_at;
   curl_off_t connect_us;
-  bool write_paused; /* the body's buffer is full */
-  bool read_paused;  /* the upload's buffer is empty */
+  bool upload_aborted; /* the caller's body ended before its length */
+  bool write_paused;   /* the body's buffer is full */
+  bool read_paused;    /* the upload's buffer is empty */
   bool ended;
   CURLcode code;
 };
@@ -214,7 +215,9 @@
   call->sent_bytes += taken;
   /* libcurl would keep the connection and send the next request where the rest
      of this body is due.  */
-  if (taken == 0 && length >= 0 && call->sent_bytes < (uint64_t)length)
+  call->upload_aborted
+      = taken == 0 && length >= 0 && call->sent_bytes < (uint64_t)length;
+  if (call->upload_aborted)
     return CURL_READFUNC_ABORT;
   notify_change (call);
   return taken;
@@ -498,6 +501,14 @@
   return call->expired;
 }
 
+bool
+cye_call_reset (const struct cye_call *call)
+{
+  return call->ended && call->send_count > 0 && call->first_byte_at == 0
+         && call->code != CURLE_OK && call->code != CURLE_OPERATION_TIMEDOUT
+         && !call->upload_aborted;
+}
+
 bool
 cye_call_reused (const struct cye_call *call)
 {
--- a/src/entry/cye_call.h
+++ b/src/entry/cye_call.h
@@ -150,6 +150,10 @@
    returned false.  */
 bool cye_call_expired (const struct cye_call *call);
 
+/* True when the request was sent and the connection ended without a byte of an
+   answer, other than by a timeout or by the caller's body.  */
+bool cye_call_reset (const struct cye_call *call);
+
 /* True when the request was sent on a persistent connection.  */
 bool cye_call_reused (const struct cye_call *call);
 
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -252,6 +252,7 @@
     return;
   cye_call_times (request->call, &times);
   measure_send_delay (request);
+  request->place.reset = cye_call_reset (request->call);
   bool interrupted = cye_call_sent (request->call)
                      && (!cye_call_ended (request->call)
                          || cye_call_result (request->call) != CY_OK);
--- a/src/entry/cye_hub.h
+++ b/src/entry/cye_hub.h
@@ -73,10 +73,12 @@
   uint32_t route_rank;               /* rank of the route */
   cy_time_ns goal_at;                /* end of the latency goal */
   cy_time_ns deadline_at;            /* end of the request's time */
-  cy_time_ns hold;   /* ns that the request may wait past GOAL_AT */
-  uint64_t affinity; /* hash of the requested object, 0: none */
-  bool is_retry;     /* an earlier attempt was sent to a server */
-  bool metered;      /* the placer takes a token of the workspace */
+  cy_time_ns hold;      /* ns that the request may wait past GOAL_AT */
+  uint64_t affinity;    /* hash of the requested object, 0: none */
+  bool is_retry;        /* an earlier attempt was sent to a server */
+  bool metered;         /* the placer takes a token of the workspace */
+  uint64_t fingerprint; /* of the request, see cym_poison.h, 0: none */
+  bool reset; /* set before cye_hub_release, see struct cym_request */
   /* Called once after CY_E_AGAIN, with CY_OK or a refusal.  */
   void (*on_answer) (struct cye_place *place, cy_result result);
   void *owner;
--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -180,6 +180,7 @@
   request->affinity = place->affinity;
   request->is_retry = place->is_retry;
   request->metered = place->metered;
+  request->fingerprint = place->fingerprint;
   request->allowed_regions = place->allowed_regions;
   request->allowed_region_count = place->allowed_regions == NULL
                                       ? 0
@@ -226,6 +227,7 @@
   ask.again = place->is_retry;
   ask.counted = place->counted;
   ask.metered = place->metered;
+  ask.work = place->fingerprint;
   ask.avoid = (char *)place->avoid_instance;
   ask.homes = place->allowed_regions;
   ask.n_homes = place->allowed_regions == NULL
@@ -257,6 +259,7 @@
   done.number = place->number;
   done.ending = (uint32_t)ending;
   done.answer_us = (uint32_t)(answer_ns / CY_NS_PER_US);
+  done.reset = place->reset;
   if (load != NULL)
     {
       done.loaded = load->known;
@@ -410,6 +413,7 @@
 {
   place->hub = hub;
   place->placed = false;
+  place->reset = false;
   place->placer = CYE_PLACER_NONE;
   place->waited = 0;
   place->retry_after_ms = 0;
@@ -481,6 +485,7 @@
     case CYE_PLACER_SELF:
       TAILQ_REMOVE (&hub->local_places, place, entry);
       place->placer = CYE_PLACER_NONE;
+      place->local_request.reset = place->reset;
       cym_match_finish (hub->match, &place->local_request, ending, answer_ns,
                         load, cye_hub_now (hub));
       break;
@@ -553,10 +558,29 @@
 
 /* ------------------------------------------------------------ lifetime */
 
+static void
+log_poison (const struct cym_poison_change *change, void *context)
+{
+  const struct cym_request *request = change->cause;
+  const struct cye_place *place = request == NULL ? NULL : request->owner;
+  const struct cyu_poison_event event = {
+    .fingerprint = change->fingerprint,
+    .was_blocked = change->before == CYM_POISON_BLOCKED,
+    .is_blocked = change->after == CYM_POISON_BLOCKED,
+    .is_suspect = change->after == CYM_POISON_SUSPECT,
+    .servers = change->servers,
+    .blocked_ms = change->blocked_time / CY_NS_PER_MS,
+    .request_id = place == NULL ? NULL : place->request_id,
+  };
+  (void)context;
+  cyu_event_poison (&event);
+}
+
 void
 cye_hub_place_create (struct cye_hub *hub)
 {
   struct cym_options options = {
+    .on_poison = log_poison,
     .region = hub->options.region,
     .random = hub->options.random,
     /* The retry budget is counted over the fleet: without a control VM no
--- a/src/entry/cye_place.c
+++ b/src/entry/cye_place.c
@@ -2,6 +2,7 @@
    layout, from the placer in the hub layout.  */
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "entry/cye_request_internal.h"
 
@@ -57,10 +58,29 @@
   cye_admit_slot_answered (request, result);
 }
 
+/* Sets the fingerprint of REQUEST, the same for all attempts.  A body that is
+   still being received is not part of it.  */
+static void
+set_fingerprint (struct cye_request *request)
+{
+  const struct cye_buffer *body = &request->upload;
+  const char *host = request->host == NULL ? "" : request->host;
+  uint64_t hash = XXH3_64bits (request->method, strlen (request->method));
+  hash = XXH3_64bits_withSeed (host, strlen (host), hash);
+  hash = XXH3_64bits_withSeed (request->target.raw,
+                               strlen (request->target.raw), hash);
+  if (body->complete && body->consumed == 0 && body->array->len > 0
+      && body->array->len == request->body_received)
+    hash = XXH3_64bits_withSeed (body->array->data, body->array->len, hash);
+  request->place.fingerprint = hash == 0 ? 1 : hash;
+}
+
 static cy_result
 acquire_at_hub (struct cye_request *request)
 {
   struct cye_place *place = &request->place;
+  if (place->fingerprint == 0)
+    set_fingerprint (request);
   g_strlcpy (place->avoid_instance, request->avoid_instance,
              sizeof place->avoid_instance);
   place->request_id = request->request_id;
--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -46,6 +46,13 @@
   g_free (job);
 }
 
+const char *
+cyc_dispatch_request_id (const struct cym_request *request)
+{
+  const struct cyc_job *job = request->owner;
+  return job->message->request_id;
+}
+
 static void
 send_answer (struct cyc_job *job, cy_result result)
 {
@@ -222,6 +229,7 @@
   job->request.is_retry = copy->again;
   job->request.counted = copy->counted;
   job->request.metered = copy->metered;
+  job->request.fingerprint = copy->work;
   job->request.allowed_regions = copy->homes;
   job->request.allowed_region_count = copy->n_homes;
   job->request.on_decision = on_decided;
@@ -243,7 +251,7 @@
   if (message->held)
     {
       if (!cym_match_adopt (hub->match, &job->request, message->instance,
-                            message->born))
+                            message->born, now))
         job_free (job);
       return;
     }
@@ -291,11 +299,13 @@
       bool was_returning = server->on_probation;
       cy_time_ns ejected_before = server->ejected_until;
       double limit_before = server->limit.per_s;
+      job->request.reset = done->reset;
       cym_match_finish (hub->match, &job->request, outcome,
                         (cy_time_ns)done->answer_us * CY_NS_PER_US, &load,
                         cyc_now (hub));
       log_health (server, was_returning, ejected_before, done->ending,
                   cyc_now (hub));
+      cyc_poison_schedule (hub);
       if (server->limit.per_s < limit_before
           || server->limit.per_s > limit_before)
         cyu_event_server_limit (server->id, server->incarnation,
@@ -450,6 +460,7 @@
     .limits = hub->options.limits,
   };
   hub->quota = cym_quota_create ();
+  cyc_poison_attach (hub, &options);
   cym_quota_attach (hub->quota, &options);
   hub->match = cym_match_create (&options);
   hub->match_timer = cyn_timer_create (hub->options.loop, tick_due, hub);
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -304,6 +304,9 @@
 void cyc_dispatch_finish (struct cyc_hub *hub, struct cyc_child *child,
                           const Cy__PlaceDone *done);
 
+/* Id of REQUEST of an entry VM in the log, "" if it has none.  */
+const char *cyc_dispatch_request_id (const struct cym_request *request);
+
 /* CHILD has disconnected: cancels the requests that wait, keeps the placed
    ones.  */
 void cyc_dispatch_disconnect (struct cyc_hub *hub, struct cyc_child *child);
@@ -359,6 +362,20 @@
 void cyc_retry_budget_create (struct cyc_hub *hub);
 void cyc_retry_budget_destroy (struct cyc_hub *hub);
 
+/* ---- cyc_poison.c */
+
+/* Sets the options of the matcher for changes of poison requests.  */
+void cyc_poison_attach (struct cyc_hub *hub, struct cym_options *options);
+
+/* Schedules a message to the other control VMs if there is a change.  */
+void cyc_poison_schedule (struct cyc_hub *hub);
+
+/* Adds the changes to SYNC, with the heartbeat also what earlier messages
+   reported; cyc_poison_clear_sync frees them.  */
+void cyc_poison_fill_sync (struct cyc_hub *hub, Cy__HubSync *sync);
+void cyc_poison_clear_sync (Cy__HubSync *sync);
+void cyc_poison_receive (struct cyc_hub *hub, const Cy__HubSync *sync);
+
 /* ---- cyc_join.c */
 void cyc_join_heartbeat (struct cyc_hub *hub);
 bool cyc_join_has_member (const struct cyc_hub *hub, uint64_t member);
