--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -420,13 +420,14 @@
       cyc_lending_fill_sync (hub, &common);
       cyc_retry_budget_fill_sync (hub, &common);
     }
+  cyc_poison_fill_sync (hub, &common);
   CK_LIST_FOREACH (peer, &hub->peers, entry)
   {
     if (peer->conn == NULL || !cyn_conn_is_open (peer->conn))
       continue;
     Cy__HubSync sync = common;
     if (heartbeat || peer->sent_sequence < common.sequence
-        || peer->last_sent == 0 || peer->ack_due)
+        || peer->last_sent == 0 || peer->ack_due || common.n_poison > 0)
       send_sync (peer, &sync, &unnamed, now);
     peer->ack_due = false;
   }
@@ -435,6 +436,7 @@
       cyc_lending_clear_sync (&common);
       cyc_retry_budget_clear_sync (&common);
     }
+  cyc_poison_clear_sync (&common);
   if (sends_renewals)
     {
       hub->renewals_sent_at = now;
@@ -543,6 +545,7 @@
   cyc_hub_update_serving (hub);
   cyc_lending_receive (hub, peer, sync);
   cyc_retry_budget_receive (hub, peer, sync);
+  cyc_poison_receive (hub, sync);
   cyc_announce_complete_pending (hub);
 }
 
