--- a/tests/match/test_poison.c
+++ b/tests/match/test_poison.c
@@ -43,7 +43,12 @@
   enum cym_poison_verdict verdict;
   double blocked_s;
 } tables[] = {
-  { "unknown", { { 0, 0, "", 0, 0 } }, 1, CYM_POISON_NONE, CYM_POISON_PLACE, 0 },
+  { "unknown",
+    { { 0, 0, "", 0, 0 } },
+    1,
+    CYM_POISON_NONE,
+    CYM_POISON_PLACE,
+    0 },
   { "one server",
     { { 0, OP_END, "a", 1, 0 } },
     1,
