--- a/src/backend/cyk_serve.c
+++ b/src/backend/cyk_serve.c
@@ -454,6 +454,9 @@
 static enum MHD_Result
 run_finish (struct run *run, const char *method)
 {
+  const char *poison_path = run->serve->options.poison_path;
+  if (poison_path[0] != '\0' && strcmp (run->uri, poison_path) == 0)
+    _exit (EXIT_FAILURE);
   switch (run->fault)
     {
     case CYK_CLOSE:
--- a/src/backend/cyk_serve.h
+++ b/src/backend/cyk_serve.h
@@ -53,11 +53,13 @@
   int64_t service_time_ms;       /* service time unless work=MS is given */
   int64_t cold_ms;               /* duration of the slow start, 0: none */
   enum cyk_fault fault;
-  int64_t fault_percent; /* share of requests with the fault, 0 to 100 */
-  const char *limit;     /* limit that all answers report, "" for none */
-  int64_t limit_ms;      /* time from the start until it ends, 0: never */
-  int record_fd;         /* receives one JSON line per request; -1: none */
-  int listen_fd;         /* listening socket */
+  int64_t fault_percent;   /* share of requests with the fault, 0 to 100 */
+  const char *poison_path; /* a request for it ends the process without an
+                              answer; "" for none */
+  const char *limit;       /* limit that all answers report, "" for none */
+  int64_t limit_ms;        /* time from the start until it ends, 0: never */
+  int record_fd;           /* receives one JSON line per request; -1: none */
+  int listen_fd;           /* listening socket */
 };
 
 struct cyk_serve;
--- a/src/backend/main.c
+++ b/src/backend/main.c
@@ -24,7 +24,7 @@
 #define DRAIN_CHECK_MS 50 /* between checks for open requests */
 
 static char *service, *instance, *zone, *host, *entries, *record_path;
-static char *fault_text, *dialect_text, *limit_text;
+static char *fault_text, *dialect_text, *limit_text, *poison_path;
 static int64_t port, announce_port, slots, connections, lease_ms, drain_ms;
 static bool log_json;
 static struct cyk_options serve_options = { .record_fd = -1 };
@@ -58,6 +58,8 @@
     "truncate, late, shed, echo-key, refusal-twice, leaving or pause" },
   { "fault-percent", CYU_INTEGER, &serve_options.fault_percent, "100", 0, 100,
     "share of the requests with the fault" },
+  { "poison-path", CYU_STRING, &poison_path, "", 0, 0,
+    "path that ends the process without an answer" },
   { "limit", CYU_STRING, &limit_text, "", 0, 0,
     "limit in all answers, requests/s" },
   { "limit-ms", CYU_INTEGER, &serve_options.limit_ms, "0", 0, 600000,
@@ -120,6 +122,7 @@
   serve_options.instance = instance;
   serve_options.slots = slots;
   serve_options.limit = limit_text;
+  serve_options.poison_path = poison_path;
   serve_options.listen_fd = listen_fd;
   cy_result result = cyk_serve_create (&serve_options, &self->serve);
   if (result != CY_OK)
