Planned stop: requests whose body ends late are judged again, none is cut

Cause: the entry VM decided once, at the head, whether it takes a request.

What doesn't fit gets 503, not run, with Retry-After and Connection: close, also while its body is still being received. What is open 0.4 s before the end of the grace time is answered: 503 if it was not passed on, else 504; the process ends 0.2 s later.

--- a/src/entry/cye_admit.c
+++ b/src/entry/cye_admit.c
@@ -219,6 +219,12 @@
 void
 cye_admit_slot (struct cye_request *request)
 {
+  if (!cye_request_may_wait (request))
+    {
+      cye_request_refuse (request, CY_E_STOPPING,
+                          request->may_have_run ? CYE_UNKNOWN : CYE_NOT_RUN);
+      return;
+    }
   request->stage = CYE_QUEUED;
   request->pending_callbacks++;
   cy_result result = cye_place_acquire (request);
--- a/src/entry/cye_entry.c
+++ b/src/entry/cye_entry.c
@@ -33,6 +33,9 @@
 /* ms, longest wait for open requests in a planned stop.  */
 #define CYE_LEAVE_MAX_MS 60000
 
+/* Time to send the answers to the requests that are open then, ms.  */
+#define CYE_LEAVE_ANSWERS_MS 200
+
 #define CYE_WORKERS_MAX 32 /* worker threads */
 
 struct cye_entry
@@ -207,7 +210,7 @@
   if (ck_pr_load_64 ((uint64_t *)&entry->shared.open_requests) != 0)
     entry->idle_since = now;
   if (now - entry->idle_since < CYE_LEAVE_IDLE_MS * CY_NS_PER_MS
-      && now < entry->leave_until)
+      && now < entry->leave_until + CYE_LEAVE_ANSWERS_MS * CY_NS_PER_MS)
     return;
   cyn_callback stopped = entry->stopped;
   entry->stopped = NULL;
@@ -244,6 +247,8 @@
   entry->leave_after = now + wait_ms * CY_NS_PER_MS;
   entry->leave_until = entry->leave_after + CYE_LEAVE_MAX_MS * CY_NS_PER_MS;
   entry->idle_since = entry->leave_after;
+  ck_pr_store_64 ((uint64_t *)&entry->shared.leave_answers_at,
+                  (uint64_t)entry->leave_until);
 }
 
 /* ------------------------------------------------------------ life cycle */
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -45,7 +45,7 @@
 static bool
 may_send (void *context)
 {
-  return cye_place_may_send (context);
+  return cye_place_may_send (context) && cye_request_may_pass_on (context);
 }
 
 static void
@@ -160,10 +160,11 @@
   const struct cye_ticket *ticket = &request->ticket;
   int64_t left_ms
       = (request->deadline - cye_request_now (request)) / CY_NS_PER_MS;
-  if (left_ms < CYE_ATTEMPT_MIN_MS)
+  bool in_time = left_ms >= CYE_ATTEMPT_MIN_MS;
+  if (!in_time || !cye_request_may_pass_on (request))
     {
       cye_place_release (request, CYM_CANCELLED, 0, false, false);
-      cye_request_refuse (request, CY_E_DEADLINE,
+      cye_request_refuse (request, in_time ? CY_E_STOPPING : CY_E_DEADLINE,
                           request->may_have_run ? CYE_UNKNOWN : CYE_NOT_RUN);
       return;
     }
@@ -341,7 +342,8 @@
                          : CYE_ATTEMPTS_MAX;
   bool again = request->attempt_count < attempts_max && time_left
                && can_replay (request) && !request->caller_left
-               && (!sent || request->idempotent);
+               && (!sent || request->idempotent)
+               && cye_request_may_pass_on (request);
   /* In the hub layout the placer counts retries.  */
   if (again && sent && request->shared->layout == CYE_TREE)
     again = cye_budget_spend (&request->shared->budget);
@@ -375,6 +377,8 @@
     }
   if (declined)
     result = CY_E_NO_ROOM;
+  if (!request->may_have_run && !cye_request_may_pass_on (request))
+    result = CY_E_STOPPING;
   cye_request_refuse (request, result,
                       request->may_have_run ? CYE_UNKNOWN : CYE_NOT_RUN);
 }
--- a/src/entry/cye_refusal.c
+++ b/src/entry/cye_refusal.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define RETRY_AFTER_MAX 24 /* bytes of a value of Retry-After with its NUL */
+
 const char *
 cye_outcome_text (enum cye_outcome outcome)
 {
@@ -63,23 +65,22 @@
   json_object_set_new (root, "entry_vms", list);
 }
 
+/* Writes the value of Retry-After to TEXT.  */
 static void
-add_retry_after (const struct cye_names *names, struct MHD_Response *response,
-                 uint32_t retry_after_ms)
+print_retry_after (const struct cye_names *names, uint32_t retry_after_ms,
+                   char text[RETRY_AFTER_MAX])
 {
-  char seconds[24];
   if (names->fractional_retry_after)
-    g_snprintf (seconds, sizeof seconds, "%u.%03u", retry_after_ms / 1000,
+    g_snprintf (text, RETRY_AFTER_MAX, "%u.%03u", retry_after_ms / 1000,
                 retry_after_ms % 1000);
   else
-    g_snprintf (seconds, sizeof seconds, "%u", (retry_after_ms + 999) / 1000);
-  MHD_add_response_header (response, "Retry-After", seconds);
+    g_snprintf (text, RETRY_AFTER_MAX, "%u", (retry_after_ms + 999) / 1000);
 }
 
-struct MHD_Response *
-cye_refusal_response (const struct cye_names *names, cy_result result,
-                      enum cye_outcome outcome, uint32_t retry_after_ms,
-                      const struct cye_answer *alternatives)
+/* Returns the problem as JSON, to be freed with free.  */
+static char *
+print_problem (cy_result result, enum cye_outcome outcome,
+               uint32_t retry_after_ms, const struct cye_answer *alternatives)
 {
   unsigned status = cye_refusal_status (result);
   json_t *root = json_pack (
@@ -93,6 +94,17 @@
     cye_refusal_add_vms (root, alternatives);
   char *text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
+  return text;
+}
+
+struct MHD_Response *
+cye_refusal_response (const struct cye_names *names, cy_result result,
+                      enum cye_outcome outcome, uint32_t retry_after_ms,
+                      const struct cye_answer *alternatives)
+{
+  unsigned status = cye_refusal_status (result);
+  char seconds[RETRY_AFTER_MAX];
+  char *text = print_problem (result, outcome, retry_after_ms, alternatives);
   struct MHD_Response *response = MHD_create_response_from_buffer (
       strlen (text), text, MHD_RESPMEM_MUST_FREE);
   MHD_add_response_header (response, "Content-Type",
@@ -103,6 +115,35 @@
   if (status == MHD_HTTP_UNAUTHORIZED && names->key_scheme[0] != '\0')
     MHD_add_response_header (response, "WWW-Authenticate", "Bearer");
   if (retry_after_ms > 0)
-    add_retry_after (names, response, retry_after_ms);
+    {
+      print_retry_after (names, retry_after_ms, seconds);
+      MHD_add_response_header (response, "Retry-After", seconds);
+    }
   return response;
 }
+
+GString *
+cye_refusal_message (const struct cye_names *names, unsigned status,
+                     cy_result result, enum cye_outcome outcome,
+                     uint32_t retry_after_ms, bool has_body)
+{
+  char seconds[RETRY_AFTER_MAX];
+  char *text = print_problem (result, outcome, retry_after_ms, NULL);
+  GString *message = g_string_new (NULL);
+  g_string_printf (message,
+                   "HTTP/1.1 %u %s\r\nConnection: close\r\n"
+                   "Content-Type: application/problem+json\r\n"
+                   "Content-Length: %zu\r\n",
+                   status, MHD_get_reason_phrase_for (status), strlen (text));
+  if (names->reports_times)
+    g_string_append_printf (message, "Cy-Outcome: %s\r\n",
+                            cye_outcome_text (outcome));
+  if (retry_after_ms > 0)
+    {
+      print_retry_after (names, retry_after_ms, seconds);
+      g_string_append_printf (message, "Retry-After: %s\r\n", seconds);
+    }
+  g_string_append_printf (message, "\r\n%s", has_body ? text : "");
+  free (text);
+  return message;
+}
--- a/src/entry/cye_refusal.h
+++ b/src/entry/cye_refusal.h
@@ -4,7 +4,9 @@
 #ifndef CYE_REFUSAL_H
 #define CYE_REFUSAL_H
 
+#include <glib.h>
 #include <microhttpd.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "cy_result.h"
@@ -33,6 +35,12 @@
                       enum cye_outcome outcome, uint32_t retry_after_ms,
                       const struct cye_answer *alternatives);
 
+/* Returns the same answer as bytes of HTTP/1.1 with STATUS and "Connection:
+   close", which the caller frees.  HAS_BODY: false for HEAD.  */
+GString *cye_refusal_message (const struct cye_names *names, unsigned status,
+                              cy_result result, enum cye_outcome outcome,
+                              uint32_t retry_after_ms, bool has_body);
+
 /* Adds the entry VMs of ANSWER as JSON array "entry_vms" to ROOT, a json_t. */
 void cye_refusal_add_vms (void *root, const struct cye_answer *answer);
 
--- a/src/entry/cye_reply.c
+++ b/src/entry/cye_reply.c
@@ -6,12 +6,14 @@
 #include <jansson.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
 
 #define CYE_REPLY_CHUNK_BYTES 16384 /* per read of the body */
 #define CYE_BUSY_RETRY_MS     1000  /* Retry-After without an estimate */
+#define CYE_STOPPING_RETRY_MS 50    /* another entry VM serves at once */
 #define CYE_RESULT_CODES_MAX  1000  /* result codes are below this */
 
 /* ------------------------------------------------------------ counting */
@@ -113,6 +115,8 @@
 static uint32_t
 retry_after (const struct cye_request *request)
 {
+  if (request->refusal == CY_E_STOPPING)
+    return CYE_STOPPING_RETRY_MS;
   if (request->shared->layout == CYE_HUB)
     return request->place.retry_after_ms;
   switch (cye_refusal_status (request->refusal))
@@ -338,3 +342,33 @@
   MHD_destroy_response (response);
   return result;
 }
+
+void
+cye_reply_send_early (struct cye_request *request)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  unsigned status = refusal_status (request);
+  GString *message = cye_refusal_message (
+      request->shared->names, status, request->refusal, request->outcome,
+      retry_after (request), strcmp (request->method, "HEAD") != 0);
+  count_refusal (request->refusal);
+  count_outcome (request->outcome);
+  if (request->shared->layout == CYE_HUB)
+    log_request (request, status);
+  request->stage = CYE_ANSWERING;
+  request->answered_early = true;
+  ssize_t sent = info == NULL
+                     ? -1
+                     : send (info->connect_fd, message->str, message->len,
+                             MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (sent != (ssize_t)message->len)
+    {
+      cyu_log (G_LOG_LEVEL_WARNING,
+               "request %s is refused without an answer: its connection does "
+               "not take it",
+               request->request_id == NULL ? "" : request->request_id);
+      cye_request_abandon (request);
+    }
+  g_string_free (message, TRUE);
+}
--- a/src/entry/cye_request.c
+++ b/src/entry/cye_request.c
@@ -111,7 +111,8 @@
          body was received; a short body is received and discarded first.  */
       bool short_body = request->body_length >= CYE_LENGTH_NONE
                         && request->body_length <= CYE_BUFFER_BYTES;
-      return short_body && request->shared->layout == CYE_HUB
+      bool receives_body = short_body || result == CY_E_STOPPING;
+      return receives_body && request->shared->layout == CYE_HUB
                  ? MHD_YES
                  : cye_reply_queue (request);
     }
@@ -215,8 +216,13 @@
   (void)url;
   (void)version;
   struct cye_request *request = *request_pointer;
-  if (request->caller_left)
+  if (request->caller_left || (request->answered_early && *size == 0))
     return MHD_NO;
+  if (request->answered_early)
+    {
+      *size = 0;
+      return MHD_YES;
+    }
   if (!request->head_received)
     return handle_head (request, method);
   if (*size > 0)
@@ -347,9 +353,12 @@
   if (request->connection == NULL)
     return;
   if (cye_request_caller_left (request, now))
-    cye_worker_schedule (request->worker, request);
-  else
-    cye_forward_check (request, now);
+    {
+      cye_worker_schedule (request->worker, request);
+      return;
+    }
+  cye_request_check_leave (request, now);
+  cye_forward_check (request, now);
 }
 
 bool
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -1,9 +1,9 @@
 /* A request's struct, shared by the files that implement cye_request.h:
    cye_request.c (lifetime, libmicrohttpd), cye_admit.c (checks, token, slot),
    cye_route.c (checks against a numbered declaration in the hub layout),
-   cye_place.c (choice of a backend server), cye_forward.c (attempts at backend
-   servers), cye_classify.c (verdict on an answer), cye_reply.c (answers to the
-   caller).  */
+   cye_place.c (choice of a backend server), cye_request_leave.c (planned
+   stop), cye_forward.c (attempts at backend servers), cye_classify.c (verdict
+   on an answer), cye_reply.c (answers to the caller).  */
 
 #ifndef CYE_REQUEST_INTERNAL_H
 #define CYE_REQUEST_INTERNAL_H
@@ -45,6 +45,7 @@
   bool suspended;          /* the caller's connection is suspended */
   bool caller_left;        /* the caller closed its connection */
   bool answered;           /* the caller received the whole answer */
+  bool answered_early;     /* the answer was sent before the body's end */
   int pending_callbacks;   /* callbacks due from other threads */
   cy_result posted_result; /* result of the newest callback from another
                               thread */
@@ -214,9 +215,25 @@
 /* Cancels the attempt in progress; the caller has left or is refused.  */
 void cye_forward_cancel (struct cye_request *request);
 
+/* True when a planned stop leaves time for an attempt at the ticket's backend
+   server, or no stop is in progress.  */
+bool cye_request_may_pass_on (const struct cye_request *request);
+
+/* True when a planned stop leaves time to wait for a slot.  */
+bool cye_request_may_wait (const struct cye_request *request);
+
+/* In a planned stop, refuses a request that can't be passed on any more.  At
+   its end, ends a request without an answer.  */
+void cye_request_check_leave (struct cye_request *request, cy_time_ns now);
+
 /* Queues the answer in libmicrohttpd.  */
 enum MHD_Result cye_reply_queue (struct cye_request *request);
 
+/* Sends the refusal of a request whose body is still being received, when
+   libmicrohttpd takes no answer.  The rest of the body is dropped, and the
+   connection closed after it.  */
+void cye_reply_send_early (struct cye_request *request);
+
 /* Fills TIMES with the time breakdown so far.  */
 void cye_reply_times (const struct cye_request *request,
                       struct cye_times *times);
--- a/src/entry/cye_route.c
+++ b/src/entry/cye_route.c
@@ -141,7 +141,6 @@
             const struct cye_request_head *head)
 {
   uint64_t limit = document->limits.body_bytes;
-  request->body_length = head->length;
   request->body_max_bytes = (uint32_t)MIN (
       limit == 0 ? BODY_DEFAULT_BYTES : limit, UINT32_MAX / 4);
   return head->length > (int64_t)request->body_max_bytes ? CY_E_BODY_TOO_LARGE
@@ -166,6 +165,7 @@
   request->request_id = g_strdup (head.request_id);
   request->host = g_strdup (head.host);
   request->target.raw = request->uri;
+  request->body_length = head.length;
   if (ck_pr_load_int (&request->shared->refuses_requests))
     return CY_E_STOPPING;
   if (document == NULL)
--- a/src/entry/cye_shared.h
+++ b/src/entry/cye_shared.h
@@ -45,6 +45,8 @@
   struct cye_budget budget;
   int leaving;                  /* atomic: a planned stop is in progress */
   int refuses_requests;         /* atomic: the planned stop takes no more */
+  int64_t leave_answers_at;     /* atomic: monotonic time at which the planned
+                                   stop answers what is open, 0: no stop */
   int ready;                    /* atomic: the state has been confirmed once */
   int64_t open_requests;        /* atomic: count of requests being served */
   uint64_t last_attempt_number; /* atomic: number of the newest attempt of any
--- a/src/gate/cyg_gate.c
+++ b/src/gate/cyg_gate.c
@@ -148,6 +148,7 @@
   gate->stopped = stopped;
   gate->stopped_context = context;
   gate->shared.leaving = 1;
+  gate->shared.leave_answers_at = cye_leave_answers_at (&gate->leave);
   cye_hub_leave (gate->shared.hub);
   cyn_timer_start (gate->leave_timer, LEAVE_CHECK_MS);
 }
