Entry VM: a request refused at its head is answered also with a body

Callers saw a closed connection without an answer instead of 503 or 400, when a body followed a head that was refused before the body's limit was known: in a planned stop, before the first declaration, and for malformed heads.

Cause: the limit was 0 until the declaration was looked at, and a body of twice the limit closes the connection. Now it is 64 MiB until then, as for declarations without a limit.

--- a/src/entry/cye_request.c
+++ b/src/entry/cye_request.c
@@ -32,6 +32,7 @@
   request->started_at = cye_request_now (request);
   request->caller_checked_at = request->started_at;
   request->body_length = CYE_LENGTH_NONE;
+  request->body_max_bytes = CYE_BODY_DEFAULT_BYTES;
   cye_buffer_init (&request->upload);
   cye_worker_add (worker, request);
   ck_pr_inc_64 ((uint64_t *)&request->shared->open_requests);
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -17,6 +17,10 @@
 /* Bytes of a method's name with its final NUL; a longer one is refused.  */
 #define CYE_METHOD_MAX 64
 
+/* Limit of a body while no declared one is known: for declarations without
+   one, and for requests refused at their head, whose body is dropped.  */
+#define CYE_BODY_DEFAULT_BYTES (64u << 20)
+
 enum cye_stage
 {
   CYE_READING,   /* the head is accepted, the body is being received */
--- a/src/entry/cye_route.c
+++ b/src/entry/cye_route.c
@@ -12,10 +12,9 @@
    by this.  */
 #define GOAL_HOLD_DIVISOR 8
 
-/* Values for declarations that contain none.  HEADER_MIN_BYTES is also the
-   least limit of all headers of a request.  */
-#define BODY_DEFAULT_BYTES (64u << 20)
-#define HEADER_MIN_BYTES   16384
+/* Value for declarations that contain none, and the least limit of all headers
+   of a request.  */
+#define HEADER_MIN_BYTES 16384
 
 /* ms after which an entry VM that starts has received a declaration.  */
 #define NO_DECLARATION_RETRY_MS 500
@@ -142,7 +141,7 @@
 {
   uint64_t limit = document->limits.body_bytes;
   request->body_max_bytes = (uint32_t)MIN (
-      limit == 0 ? BODY_DEFAULT_BYTES : limit, UINT32_MAX / 4);
+      limit == 0 ? CYE_BODY_DEFAULT_BYTES : limit, UINT32_MAX / 4);
   return head->length > (int64_t)request->body_max_bytes ? CY_E_BODY_TOO_LARGE
                                                          : CY_OK;
 }
