Planned stop: requests that were sent ahead are answered before the close

Callers that send a request before the last answer came saw the connection close behind that answer: an entry VM in a planned stop puts "Connection: close" on each answer, and what had arrived behind it was dropped unread.

An entry VM now counts the bytes of a connection's requests; while more has arrived than they hold, the answer leaves the connection open and the next request gets an answer of its own. The last one closes it. A chunked request has no exact count; behind one, only what the socket still holds is found.

--- a/src/entry/cye_reply.c
+++ b/src/entry/cye_reply.c
@@ -10,6 +10,7 @@
 
 #include "base/cyu_log.h"
 #include "base/cyu_metrics.h"
+#include "entry/cye_caller.h"
 
 #define CYE_REPLY_CHUNK_BYTES 16384 /* per read of the body */
 #define CYE_BUSY_RETRY_MS     1000  /* Retry-After without an estimate */
@@ -321,6 +322,17 @@
   return status;
 }
 
+/* True when the caller has sent another request behind this one, which gets an
+   answer of its own before the connection closes.  */
+static bool
+has_sent_ahead (const struct cye_request *request)
+{
+  return request->body_read
+         && cye_caller_sent_ahead (
+             request->connection, request->head_bytes + request->body_received,
+             request->body_length != CYE_LENGTH_CHUNKED);
+}
+
 enum MHD_Result
 cye_reply_queue (struct cye_request *request)
 {
@@ -335,7 +347,7 @@
     log_request (request, status);
   if (request->shared->names->reports_times)
     add_server_timing (request, response);
-  if (ck_pr_load_int (&request->shared->leaving))
+  if (ck_pr_load_int (&request->shared->leaving) && !has_sent_ahead (request))
     MHD_add_response_header (response, "Connection", "close");
   enum MHD_Result result
       = MHD_queue_response (request->connection, status, response);
--- a/src/entry/cye_request.c
+++ b/src/entry/cye_request.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "entry/cye_caller.h"
 #include "entry/cye_local.h"
 
 /* ms between two checks whether a caller has left; well below the 0.5 s within
@@ -95,6 +96,7 @@
 handle_head (struct cye_request *request, const char *method)
 {
   request->head_received = true;
+  request->head_bytes = cye_caller_head_bytes (request->connection);
   bool fits = g_strlcpy (request->method, method, sizeof request->method)
               < sizeof request->method;
   request->is_local = request->shared->layout == CYE_TREE
@@ -247,10 +249,11 @@
                           enum MHD_RequestTerminationCode code)
 {
   (void)context;
-  (void)connection;
   struct cye_request *request = *request_pointer;
   if (request == NULL)
     return;
+  cye_caller_count (connection, request->head_bytes + request->body_received,
+                    request->body_length != CYE_LENGTH_CHUNKED);
   *request_pointer = NULL;
   request->connection = NULL;
   request->suspended = false;
--- a/src/entry/cye_request_internal.h
+++ b/src/entry/cye_request_internal.h
@@ -69,6 +69,7 @@
 
   /* The request body between the caller and the backend server.  */
   struct cye_buffer upload;
+  uint64_t head_bytes;    /* received, 0: unknown */
   uint64_t body_received; /* bytes */
   bool too_large;         /* more than body_max_bytes were received */
   cy_time_ns stalled_at;  /* time since which neither the body nor the answer
--- a/src/entry/cye_worker.c
+++ b/src/entry/cye_worker.c
@@ -4,6 +4,7 @@
 #include <pthread.h>
 #include <stdio.h>
 
+#include "entry/cye_caller.h"
 #include "entry/cye_request_internal.h"
 
 #define CYE_REQUEST_CHECK_MS 50 /* ms between time-out checks of requests */
@@ -178,6 +179,7 @@
     .on_uri = cye_request_on_uri,
     .on_request = cye_request_on_data,
     .on_completed = cye_request_on_completed,
+    .on_connection = cye_caller_on_connection,
     .after_round = run_scheduled,
     .context = worker,
   };
--- a/src/http/cyh_server.c
+++ b/src/http/cyh_server.c
@@ -157,7 +157,8 @@
       MHD_OPTION_CONNECTION_LIMIT, options->connections_max,
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
       options->on_uri, options->context, MHD_OPTION_NOTIFY_COMPLETED,
-      options->on_completed, options->context, MHD_OPTION_END);
+      options->on_completed, options->context, MHD_OPTION_NOTIFY_CONNECTION,
+      options->on_connection, options->context, MHD_OPTION_END);
   if (server->daemon == NULL)
     goto fail;
   fd = -1;
--- a/src/http/cyh_server.h
+++ b/src/http/cyh_server.h
@@ -31,6 +31,8 @@
                    struct MHD_Connection *connection);
   MHD_AccessHandlerCallback on_request;
   MHD_RequestCompletedCallback on_completed;
+  /* Called when a connection opens and closes.  May be NULL.  */
+  MHD_NotifyConnectionCallback on_connection;
   /* Called after every round of the daemon.  May be NULL.  */
   void (*after_round) (void *context);
   void *context;
