Planned stop of a control VM: every call that was received is answered

Operators, backend servers and callers that ask for entry VMs saw connections reset when a control VM stopped: 0.2 s after the SIGTERM, or as soon as another one led, it closed its servers with calls on them and connections not accepted yet.

It now accepts what waits, closes its listeners, and ends when no call is open, at the latest a second later. Calls that are open then are answered 503, which the end of the hub gave them already but nothing sent.

--- a/src/http/cyh_server.c
+++ b/src/http/cyh_server.c
@@ -194,6 +194,7 @@
 void
 cyh_server_quiesce (struct cyh_server *server)
 {
+  cyh_server_run (server);
   MHD_socket fd = MHD_quiesce_daemon (server->daemon);
   if (fd != MHD_INVALID_SOCKET)
     close (fd);
--- a/src/http/cyh_server.h
+++ b/src/http/cyh_server.h
@@ -56,7 +56,8 @@
    returns.  */
 void cyh_server_run (struct cyh_server *server);
 
-/* Stops accepting connections; the open ones continue.  */
+/* Accepts the connections that wait, then stops accepting; the open ones
+   continue.  */
 void cyh_server_quiesce (struct cyh_server *server);
 
 /* Count of open connections.  */
--- a/src/hub/cyc_http.c
+++ b/src/hub/cyc_http.c
@@ -17,11 +17,13 @@
 
 struct cyc_http
 {
-  struct cyc_hub *hub;
+  struct cyc_hub *hub; /* NULL once it was destroyed */
   struct cyn_loop *loop;
   enum cyc_dialect dialect;
   struct cyh_server *server;
   int listen_fd;
+  bool closing;                   /* answers end their connections */
+  unsigned open_calls;            /* see cyc_http_open_calls */
   struct cyn_timer *resume_timer; /* runs the server once a connection is
                                      resumed */
 };
@@ -54,6 +56,7 @@
   request->connection = connection;
   request->target = g_strdup (uri);
   request->body = g_byte_array_new ();
+  request->http->open_calls++;
   return request;
 }
 
@@ -79,6 +82,7 @@
   *pointer = NULL;
   if (request == NULL)
     return;
+  request->http->open_calls--;
   request->connection = NULL;
   if (!request->pending)
     request_free (request);
@@ -181,6 +185,8 @@
 send_answer (struct request *request)
 {
   char *text = NULL;
+  if (request->http->hub == NULL)
+    request->result = CY_E_CLOSED;
   if (request->result == CY_OK)
     {
       text = write_success (request);
@@ -207,6 +213,8 @@
                                    : "application/json");
   if (status == 307)
     add_location (request, response);
+  if (request->http->closing)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   if (status == 503)
     MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, "1");
   enum MHD_Result queued
@@ -345,6 +353,8 @@
           .length = request->body->len };
   if (request->too_large)
     request->result = CY_E_TOO_LARGE;
+  else if (request->http->hub == NULL)
+    request->result = CY_E_CLOSED;
   else
     request->result = cyc_call_read (request->http->dialect, &http_request,
                                      &request->call, &request->error);
@@ -440,7 +450,27 @@
 void
 cyc_http_quiesce (struct cyc_http *http)
 {
+  if (http == NULL)
+    return;
+  http->closing = true;
   cyh_server_quiesce (http->server);
+  close (http->listen_fd);
+  http->listen_fd = -1;
+}
+
+unsigned
+cyc_http_open_calls (const struct cyc_http *http)
+{
+  return http == NULL ? 0 : http->open_calls;
+}
+
+void
+cyc_http_finish (struct cyc_http *http)
+{
+  if (http == NULL)
+    return;
+  http->hub = NULL;
+  cyh_server_run (http->server);
 }
 
 void
--- a/src/hub/cyc_http.h
+++ b/src/hub/cyc_http.h
@@ -14,8 +14,16 @@
                            enum cyc_dialect dialect, const char *host,
                            uint16_t port, struct cyc_http **http);
 
-/* Stops accepting connections; open calls continue.  */
+/* Stops accepting connections.  Open calls continue, and each answer ends its
+   connection.  */
 void cyc_http_quiesce (struct cyc_http *http);
+
+/* Count of calls of which a part was received and that are not answered.  */
+unsigned cyc_http_open_calls (const struct cyc_http *http);
+
+/* Sends the answers to the calls that the hub ended when it was destroyed;
+   further calls are refused.  */
+void cyc_http_finish (struct cyc_http *http);
 void cyc_http_destroy (struct cyc_http *http);
 
 /* Returns the HTTP status of a call that ended with RESULT.  */
--- a/src/hub/main.c
+++ b/src/hub/main.c
@@ -18,6 +18,14 @@
 /* Interval between two attempts to open the data folder on a full disk, ms. */
 #define DISK_CHECK_MS 250
 
+/* Interval between two checks whether all calls are answered in a planned
+   stop, ms, and the counts of checks after which it may and does end.  The
+   first cover a call that is on its way when the listeners close, the others
+   that of an operator, which takes a few round trips between regions.  */
+#define STOP_CHECK_MS   20
+#define STOP_CHECKS_MIN 3
+#define STOP_CHECKS_MAX 50
+
 struct settings
 {
   char *vm;
@@ -51,13 +59,34 @@
   struct cyc_http *control;
   struct cyc_http *lookup;
   struct cyc_http *metrics;
+  struct cyn_timer *stop_timer;
+  unsigned stop_checks;
 };
 
+/* Ends the planned stop once each call that was received is answered.  */
+static void
+stop_due (void *context)
+{
+  struct program *program = context;
+  unsigned open = cyc_http_open_calls (program->control)
+                  + cyc_http_open_calls (program->lookup)
+                  + cyc_http_open_calls (program->metrics);
+  program->stop_checks++;
+  if (program->stop_checks < STOP_CHECKS_MIN
+      || (open > 0 && program->stop_checks < STOP_CHECKS_MAX))
+    cyn_timer_start (program->stop_timer, STOP_CHECK_MS);
+  else
+    cyn_loop_stop (program->loop);
+}
+
 static void
 on_stopped (void *context)
 {
   struct program *program = context;
-  cyn_loop_stop (program->loop);
+  cyc_http_quiesce (program->control);
+  cyc_http_quiesce (program->lookup);
+  cyc_http_quiesce (program->metrics);
+  cyn_timer_start (program->stop_timer, STOP_CHECK_MS);
 }
 
 static void
@@ -148,12 +177,18 @@
     result = open_all_http (&program, settings, dialect);
   if (result != CY_OK)
     goto done;
+  program.stop_timer = cyn_timer_create (program.loop, stop_due, &program);
   signals = cyn_signals_create (program.loop, on_signal, &program);
   cyu_ready_print ("cy-hub", settings->vm, options.port, options.http_port);
   cyn_loop_run (program.loop);
 done:
   cyn_signals_destroy (signals);
+  if (program.stop_timer != NULL)
+    cyn_timer_destroy (program.stop_timer);
   cyc_hub_destroy (program.hub);
+  cyc_http_finish (program.control);
+  cyc_http_finish (program.lookup);
+  cyc_http_finish (program.metrics);
   cyc_http_destroy (program.control);
   cyc_http_destroy (program.lookup);
   cyc_http_destroy (program.metrics);
