--- a/src/entry/cye_request.c
+++ b/src/entry/cye_request.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "entry/cye_caller.h"
 #include "entry/cye_local.h"
 
 /* ms between two checks whether a caller has left; well below the 0.5 s within
@@ -32,6 +33,7 @@
   request->started_at = cye_request_now (request);
   request->caller_checked_at = request->started_at;
   request->body_length = CYE_LENGTH_NONE;
+  request->body_max_bytes = CYE_BODY_DEFAULT_BYTES;
   cye_buffer_init (&request->upload);
   cye_worker_add (worker, request);
   ck_pr_inc_64 ((uint64_t *)&request->shared->open_requests);
@@ -94,6 +96,7 @@
 handle_head (struct cye_request *request, const char *method)
 {
   request->head_received = true;
+  request->head_bytes = cye_caller_head_bytes (request->connection);
   bool fits = g_strlcpy (request->method, method, sizeof request->method)
               < sizeof request->method;
   request->is_local = request->shared->layout == CYE_TREE
@@ -111,7 +114,8 @@
          body was received; a short body is received and discarded first.  */
       bool short_body = request->body_length >= CYE_LENGTH_NONE
                         && request->body_length <= CYE_BUFFER_BYTES;
-      return short_body && request->shared->layout == CYE_HUB
+      bool receives_body = short_body || result == CY_E_STOPPING;
+      return receives_body && request->shared->layout == CYE_HUB
                  ? MHD_YES
                  : cye_reply_queue (request);
     }
@@ -215,8 +219,13 @@
   (void)url;
   (void)version;
   struct cye_request *request = *request_pointer;
-  if (request->caller_left)
+  if (request->caller_left || (request->answered_early && *size == 0))
     return MHD_NO;
+  if (request->answered_early)
+    {
+      *size = 0;
+      return MHD_YES;
+    }
   if (!request->head_received)
     return handle_head (request, method);
   if (*size > 0)
@@ -240,10 +249,11 @@
                           enum MHD_RequestTerminationCode code)
 {
   (void)context;
-  (void)connection;
   struct cye_request *request = *request_pointer;
   if (request == NULL)
     return;
+  cye_caller_count (connection, request->head_bytes + request->body_received,
+                    request->body_length != CYE_LENGTH_CHUNKED);
   *request_pointer = NULL;
   request->connection = NULL;
   request->suspended = false;
@@ -347,9 +357,12 @@
   if (request->connection == NULL)
     return;
   if (cye_request_caller_left (request, now))
-    cye_worker_schedule (request->worker, request);
-  else
-    cye_forward_check (request, now);
+    {
+      cye_worker_schedule (request->worker, request);
+      return;
+    }
+  cye_request_check_leave (request, now);
+  cye_forward_check (request, now);
 }
 
 bool
--- a/src/http/cyh_server.h
+++ b/src/http/cyh_server.h
@@ -31,6 +31,8 @@
                    struct MHD_Connection *connection);
   MHD_AccessHandlerCallback on_request;
   MHD_RequestCompletedCallback on_completed;
+  /* Called when a connection opens and closes.  May be NULL.  */
+  MHD_NotifyConnectionCallback on_connection;
   /* Called after every round of the daemon.  May be NULL.  */
   void (*after_round) (void *context);
   void *context;
@@ -54,7 +56,8 @@
    returns.  */
 void cyh_server_run (struct cyh_server *server);
 
-/* Stops accepting connections; the open ones continue.  */
+/* Accepts the connections that wait, then stops accepting; the open ones
+   continue.  */
 void cyh_server_quiesce (struct cyh_server *server);
 
 /* Count of open connections.  */
