cy-backend: answers 421 to requests for another instance

Backend servers answer 421, not run, when Cy-Expect-Instance names another instance; the stand-in ran such requests, so no test with processes could tell who is at an address.

--- a/src/backend/cyk_serve.c
+++ b/src/backend/cyk_serve.c
@@ -286,8 +286,9 @@
   return result;
 }
 
+/* Answers with STATUS that the request did not run.  */
 static enum MHD_Result
-send_shed (struct run *run)
+send_refusal (struct run *run, unsigned status)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
       5, (void *)"busy\n", MHD_RESPMEM_PERSISTENT);
@@ -297,12 +298,21 @@
     MHD_add_response_header (response, names->pause, CYK_PAUSE_S);
   add_request_id (run, response);
   add_limit (run->serve, response);
-  enum MHD_Result result = MHD_queue_response (
-      run->connection, MHD_HTTP_SERVICE_UNAVAILABLE, response);
+  enum MHD_Result result
+      = MHD_queue_response (run->connection, status, response);
   MHD_destroy_response (response);
   return result;
 }
 
+/* True when the request names another instance.  */
+static bool
+is_misdirected (struct run *run)
+{
+  const struct cyk_options *options = &run->serve->options;
+  const char *expected = get_header (run, options->names->expected_instance);
+  return expected[0] != '\0' && strcmp (expected, options->instance) != 0;
+}
+
 /* ------------------------------------------------------------ running */
 
 static void
@@ -525,13 +535,15 @@
     return send_text (run, MHD_HTTP_OK, "ok\n");
   if (strcmp (url, "/load") == 0)
     return send_load (run);
+  if (is_misdirected (run))
+    return send_refusal (run, MHD_HTTP_MISDIRECTED_REQUEST);
   if (run->fault == CYK_PAUSE)
     write_record (run, method);
   if (run->fault == CYK_SHED || run->fault == CYK_PAUSE)
-    return send_shed (run);
+    return send_refusal (run, MHD_HTTP_SERVICE_UNAVAILABLE);
   if (run->fault == CYK_REFUSAL_TWICE && !run->counted
       && refuse_first_request (run))
-    return send_shed (run);
+    return send_refusal (run, MHD_HTTP_SERVICE_UNAVAILABLE);
   if (!run->counted)
     {
       enum MHD_Result result = run_start (run, method);
