Announcements take an address from no backend server

The register gave an address to whoever started last and marked the server that had it as gone, which is final; the server's own heartbeats were stale for 60 s and were answered 200.

Several servers may claim one address now. Who is there is told by the answers: once a server of a declared service claims the address of another, both get one request at a time until they answer, and one that is answered 421 gets nothing until it announces itself anew. An announcement that is stale is answered 409; one under the id of a server in use that names a service that is not declared 400. Event address_conflict, cy_hub_address_conflicts_total, cy_hub_announcements_refused_total.

--- a/src/core/cyc_register.c
+++ b/src/core/cyc_register.c
@@ -4,17 +4,17 @@
 #include <xxhash.h>
 
 #include "core/cy_copy.h"
+#include "core/cyc_claims.h"
 
 struct cyc_register
 {
   struct cyc_instances instances;
   struct cyc_entries entries;
-  GHashTable *instances_by_id;      /* id to struct cyc_instance */
-  GHashTable *instances_by_address; /* "HOST:PORT" to struct cyc_instance that
-                                       is not gone */
-  GHashTable *entries_by_vm;        /* VM to struct cyc_entry */
-  GHashTable *instances_by_hash;    /* &hash to struct cyc_instance */
-  GHashTable *entries_by_hash;      /* &hash to struct cyc_entry */
+  GHashTable *instances_by_id;   /* id to struct cyc_instance */
+  struct cyc_claims *claims;     /* of the instances that are not gone */
+  GHashTable *entries_by_vm;     /* VM to struct cyc_entry */
+  GHashTable *instances_by_hash; /* &hash to struct cyc_instance */
+  GHashTable *entries_by_hash;   /* &hash to struct cyc_entry */
   uint64_t sequence;
 };
 
@@ -25,34 +25,17 @@
   CK_LIST_INIT (&reg->instances);
   CK_LIST_INIT (&reg->entries);
   reg->instances_by_id = g_hash_table_new (g_str_hash, g_str_equal);
-  reg->instances_by_address
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  reg->claims = cyc_claims_create ();
   reg->entries_by_vm = g_hash_table_new (g_str_hash, g_str_equal);
   reg->instances_by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   reg->entries_by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   return reg;
 }
 
-static char *
-format_address (const Cy__Instance *info)
-{
-  return g_strdup_printf ("%s:%u", info->host, info->port);
-}
-
-/* Removes the address of INSTANCE from the index if INSTANCE owns it.  */
-static void
-release_address (struct cyc_register *reg, const struct cyc_instance *instance)
-{
-  char *address = format_address (instance->info);
-  if (g_hash_table_lookup (reg->instances_by_address, address) == instance)
-    g_hash_table_remove (reg->instances_by_address, address);
-  g_free (address);
-}
-
 static void
 remove_instance (struct cyc_register *reg, struct cyc_instance *instance)
 {
-  release_address (reg, instance);
+  cyc_claims_remove (reg->claims, instance);
   if (g_hash_table_lookup (reg->instances_by_id, instance->info->id)
       == instance)
     g_hash_table_remove (reg->instances_by_id, instance->info->id);
@@ -93,7 +76,7 @@
     remove_entry (reg, vm);
   }
   g_hash_table_destroy (reg->instances_by_id);
-  g_hash_table_destroy (reg->instances_by_address);
+  cyc_claims_destroy (reg->claims);
   g_hash_table_destroy (reg->entries_by_vm);
   g_hash_table_destroy (reg->instances_by_hash);
   g_hash_table_destroy (reg->entries_by_hash);
@@ -139,6 +122,22 @@
   return info->gone || info->draining || info->leaving;
 }
 
+const struct cyc_instance *
+cyc_register_rival (const struct cyc_instance *instance,
+                    const struct cyi_document *document)
+{
+  const GPtrArray *list = instance->claims;
+  for (guint i = 0; document != NULL && list != NULL && i < list->len; i++)
+    {
+      const struct cyc_instance *other = g_ptr_array_index (list, i);
+      if (other != instance && !cyc_instance_departs (other)
+          && cyi_document_find_service (document, other->info->service)
+                 != NULL)
+        return other;
+    }
+  return NULL;
+}
+
 /* ------------------------------------------------------------ instances */
 
 static uint64_t
@@ -153,31 +152,7 @@
 {
   instance->info->gone = true;
   instance->sequence = ++reg->sequence;
-  release_address (reg, instance);
-}
-
-/* Marks the server that owned the address of INFO as gone.  Returns false when
-   that server started later: INFO is of an earlier user of the address.  Of
-   two servers without an order, one that drains or leaves is the earlier.  */
-static bool
-claim_address (struct cyc_register *reg, const Cy__Instance *info)
-{
-  char *address = format_address (info);
-  struct cyc_instance *owner
-      = g_hash_table_lookup (reg->instances_by_address, address);
-  bool is_other = owner != NULL
-                  && (owner->info->born != info->born
-                      || strcmp (owner->info->id, info->id) != 0);
-  g_free (address);
-  if (!is_other)
-    return true;
-  bool departs = info->draining || info->leaving;
-  if (owner->info->born > info->born
-      || (owner->info->born == info->born && departs
-          && !cyc_instance_departs (owner)))
-    return false;
-  mark_gone (reg, owner);
-  return true;
+  cyc_claims_remove (reg->claims, instance);
 }
 
 /* True when INFO, of the same incarnation as HELD, contains a change that
@@ -200,7 +175,7 @@
               const Cy__Instance *info, cy_time_ns sent_at)
 {
   bool leaving = held->info->leaving || info->leaving;
-  release_address (reg, held);
+  cyc_claims_remove (reg->claims, held);
   g_hash_table_remove (reg->instances_by_id, held->info->id);
   cy__instance__free_unpacked (held->info, NULL);
   held->info = cy_copy (info);
@@ -209,7 +184,7 @@
   held->cold_until = info->cold_ms == 0
                          ? 0
                          : sent_at + (cy_time_ns)info->cold_ms * CY_NS_PER_MS;
-  g_hash_table_insert (reg->instances_by_address, format_address (info), held);
+  cyc_claims_add (reg->claims, held);
 }
 
 static struct cyc_instance *
@@ -314,10 +289,6 @@
   if (same_incarnation
       && (held->info->gone || info->sequence < held->info->sequence))
     return leaves_now ? CYC_CHANGED : CYC_STALE;
-  if (!claim_address (reg, info))
-    return info->draining || info->leaving
-               ? receive_removal (reg, info, sent_at)
-               : CYC_STALE;
   if (is_new && held != NULL)
     remove_instance (reg, held);
   bool changed = is_new || instance_differs (held, info, now);
@@ -327,6 +298,9 @@
   held->last_received = MAX (held->last_received, sent_at);
   if (direct)
     held->last_direct = MAX (held->last_direct, sent_at);
+  struct cyc_instance *excess = cyc_claims_excess (held);
+  if (excess != NULL)
+    remove_instance (reg, excess);
   if (!changed)
     return leaves_now ? CYC_CHANGED : CYC_RENEWED;
   held->sequence = ++reg->sequence;
--- a/src/core/cyc_register.h
+++ b/src/core/cyc_register.h
@@ -1,7 +1,9 @@
 /* Register of the backend servers and entry VMs of a cluster, as reported to
    one process by themselves or by other processes.  A restarted backend server
-   is a new incarnation: the incarnation that started last owns the id and the
-   address.  Pure, one thread at a time.  */
+   is a new incarnation: the incarnation that started last owns the id.  An
+   address may be claimed by several servers: an announcement takes it from no
+   server, so that the order in which announcements arrive does not matter.
+   Pure, one thread at a time.  */
 
 #ifndef CYC_REGISTER_H
 #define CYC_REGISTER_H
@@ -12,6 +14,7 @@
 #include <stdint.h>
 
 #include "core/cy_clock.h"
+#include "core/cyi_document.h"
 #include "cy.pb-c.h"
 
 /* Time for which a removed incarnation is kept, so that its late announcements
@@ -33,6 +36,7 @@
                                0: none */
   cy_time_ns cold_until;    /* end of the announced cold time, 0: warm */
   uint64_t sequence;        /* of the register at the last change */
+  GPtrArray *claims; /* struct cyc_instance at its address, NULL: gone */
 };
 
 CK_LIST_HEAD (cyc_instances, cyc_instance);
@@ -117,6 +121,13 @@
 struct cyc_instances *cyc_register_instances (struct cyc_register *reg);
 struct cyc_entries *cyc_register_entries (struct cyc_register *reg);
 
+/* Returns another server that claims the address of INSTANCE, does not depart
+   and is of a service that DOCUMENT declares; NULL if there is none or
+   DOCUMENT is NULL.  */
+const struct cyc_instance *
+cyc_register_rival (const struct cyc_instance *instance,
+                    const struct cyi_document *document);
+
 /* Removes servers that have been gone for CYC_TOMBSTONE_S or exceed
    CYC_TOMBSTONES_MAX, servers without an announcement for INSTANCE_NS, and
    entry VMs without a report for ENTRY_NS.  A server that was draining or
--- a/src/core/cym_choose.c
+++ b/src/core/cym_choose.c
@@ -68,7 +68,9 @@
 {
   return server->listed && !server->draining && !server->leaving
          && server->slots > 0 && (server->local || server->borrowed > 0)
-         && server->ejected_until <= now;
+         && server->ejected_until <= now
+         && (server->misdirected_at == 0
+             || server->reported_at > server->misdirected_at);
 }
 
 /* Requests of other placers at SERVER: the value of the latest answer, which
--- a/src/core/cym_health.c
+++ b/src/core/cym_health.c
@@ -15,6 +15,10 @@
 #define EJECTION_MS            400
 #define EJECTION_DOUBLINGS_MAX 4
 
+/* The same for a server at whose address another one answers: 1.6 s at most,
+   so that two servers that have one address in turn are used within 4 s.  */
+#define MISDIRECTED_DOUBLINGS_MAX 2
+
 /* Weight of one answer in the moving averages, 0 to 1.  */
 #define ERROR_WEIGHT        0.1  /* errors per answer of a server */
 #define SLOWDOWN_WEIGHT     0.15 /* slowdown of a server */
@@ -27,13 +31,14 @@
 /* Margin in ms that is added to a reported remaining cold time.  */
 #define COLD_MARGIN_MS 50
 
-/* Stops placing requests at SERVER for a time, then allows one at a time until
-   the server answers.  */
+/* Stops placing requests at SERVER for a time, which doubles DOUBLINGS_MAX
+   times at most, then allows one at a time until the server answers.  */
 static void
-eject_server (struct cym_server *server, cy_time_ns now)
+eject_server (struct cym_server *server, unsigned doublings_max,
+              cy_time_ns now)
 {
   int64_t ms = (int64_t)EJECTION_MS
-               << MIN (server->consecutive_ejections, EJECTION_DOUBLINGS_MAX);
+               << MIN (server->consecutive_ejections, doublings_max);
   server->consecutive_ejections++;
   server->ejected_until = now + ms * CY_NS_PER_MS;
   server->on_probation = true;
@@ -50,6 +55,7 @@
     server->cold_until = MAX (server->cold_until,
                               now + server->service->cold_ms * CY_NS_PER_MS);
   server->unreachable = false;
+  server->misdirected_at = 0;
   server->consecutive_failures = 0;
   server->consecutive_ejections = 0;
   server->on_probation = false;
@@ -71,26 +77,27 @@
       record_answer (server, true, now);
       break;
     case CYM_WRONG_SERVER:
-      /* The register will contain the server that has the address now.  Until
-         then the server of the old entry gets few requests.  */
-      eject_server (server, now);
+      /* The server ended, or is not at the address that was announced for
+         it.  One that goes on announcing itself is tried now and then.  */
+      server->misdirected_at = now;
+      eject_server (server, MISDIRECTED_DOUBLINGS_MAX, now);
       break;
     case CYM_UNREACHABLE:
       server->unreachable = true;
-      eject_server (server, now);
+      eject_server (server, EJECTION_DOUBLINGS_MAX, now);
       break;
     case CYM_BROKEN:
       server->error_ratio += (1 - server->error_ratio) * ERROR_WEIGHT;
       if (++server->consecutive_failures >= EJECT_AFTER_BROKEN
           || server->on_probation)
-        eject_server (server, now);
+        eject_server (server, EJECTION_DOUBLINGS_MAX, now);
       break;
     case CYM_TIMED_OUT:
       if (++server->consecutive_failures >= EJECT_AFTER_TIMEOUTS
           || server->on_probation)
         {
           server->unreachable = true;
-          eject_server (server, now);
+          eject_server (server, EJECTION_DOUBLINGS_MAX, now);
         }
       break;
     case CYM_CANCELLED:
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -676,6 +676,10 @@
   server->listed = true;
   server->slots = info->slots;
   server->draining = info->draining;
+  if (info->contested && !server->contested)
+    server->on_probation = true;
+  server->contested = info->contested;
+  server->reported_at = info->reported_at;
   if (info->cold_ms > 0)
     server->cold_until
         = MAX (server->cold_until, now + info->cold_ms * CY_NS_PER_MS);
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -77,6 +77,9 @@
   uint32_t slots;       /* requests that the server can run at once */
   bool draining;        /* the server must get no new requests */
   uint32_t cold_ms;     /* remaining time of the cold start, 0: warmed up */
+  bool contested; /* another server that may be used claims the address */
+  cy_time_ns reported_at; /* time of its newest announcement, INT64_MAX: not
+                             known */
 };
 
 struct cym_service;
@@ -147,8 +150,14 @@
       consecutive_failures; /* consecutive requests without a valid answer */
   uint32_t consecutive_ejections; /* ejections since the latest answer */
   cy_time_ns ejected_until;       /* no request is placed before this time */
-  /* After an ejection: one request at a time until the server answers.  */
+  /* After an ejection, or once another server claims the address: one request
+     at a time until the server answers.  */
   bool on_probation;
+  bool contested; /* another server that may be used claims the address */
+  cy_time_ns reported_at; /* time of its newest announcement */
+  /* Time at which another server answered at its address, 0: it has answered
+     since.  It gets no request until it has announced itself again.  */
+  cy_time_ns misdirected_at;
   /* No connection was opened, or no answer came, at the latest attempts: the
      server may have restarted.  */
   bool unreachable;
--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -520,6 +520,8 @@
     .draining
     = source->draining || source->leaving || is_drained (hub, source->zone),
     .cold_ms = cyc_instance_cold_ms (instance, now),
+    .reported_at = INT64_MAX, /* renewals stay with the control VMs */
+    .contested = cyc_register_rival (instance, hub->document) != NULL,
   };
   cym_match_put_server (hub->match, &info, now);
 }
--- a/src/hub/cyc_announce.c
+++ b/src/hub/cyc_announce.c
@@ -7,8 +7,11 @@
    one that is not isolated has read it or received it from another.  */
 
 #include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
 
 #include "base/cyu_log.h"
+#include "base/cyu_metrics.h"
 #include "hub/cyc_internal.h"
 
 /* Announcement whose answer waits for acknowledgements of the other control
@@ -112,6 +115,64 @@
   return held != NULL && !held->info->gone;
 }
 
+/* True when INFO names no instance to use: it has the id of a server of a
+   declared service and names a service that is not declared.  */
+static bool
+is_foreign (const struct cyc_hub *hub, const Cy__Instance *info)
+{
+  const struct cyc_instance *held = cyc_register_find (hub->reg, info->id);
+  const struct cyi_document *document = hub->document;
+  return document != NULL && held != NULL && !held->info->gone && !info->gone
+         && cyi_document_find_service (document, info->service) == NULL
+         && cyi_document_find_service (document, held->info->service) != NULL;
+}
+
+static void
+count_refused (const char *reason)
+{
+  char *labels = g_strdup_printf ("reason=\"%s\"", reason);
+  cyu_metric_add (cyu_counter ("cy_hub_announcements_refused_total", labels,
+                               "Announcements that did not count."),
+                  1);
+  g_free (labels);
+}
+
+/* True when the server of INFO is known at the address of INFO.  */
+static bool
+has_claim (const struct cyc_hub *hub, const Cy__Instance *info)
+{
+  const struct cyc_instance *held = cyc_register_find (hub->reg, info->id);
+  return held != NULL && !held->info->gone && held->info->born == info->born
+         && held->info->port == info->port
+         && strcmp (held->info->host, info->host) == 0;
+}
+
+/* Reports that the server ID has announced an address that another server
+   has, which may be used.  */
+static void
+report_conflict (const struct cyc_hub *hub, const char *id)
+{
+  const struct cyc_instance *claimant = cyc_register_find (hub->reg, id);
+  const struct cyc_instance *holder
+      = claimant == NULL || cyc_instance_departs (claimant)
+            ? NULL
+            : cyc_register_rival (claimant, hub->document);
+  if (holder == NULL)
+    return;
+  const Cy__Instance *info = claimant->info;
+  bool declared
+      = cyi_document_find_service (hub->document, info->service) != NULL;
+  cyu_event (CYU_CHANGE, "address_conflict", "{ss si ss sI ss sb ss sI ss}",
+             "host", info->host, "port", (int)info->port, "instance", info->id,
+             "born", (json_int_t)info->born, "service", info->service,
+             "declared", declared, "holder", holder->info->id, "holder_born",
+             (json_int_t)holder->info->born, "holder_service",
+             holder->info->service);
+  cyu_metric_add (cyu_counter ("cy_hub_address_conflicts_total", "",
+                               "Announcements of another server's address."),
+                  1);
+}
+
 void
 cyc_hub_announce (struct cyc_hub *hub, const Cy__Instance *info,
                   cyc_done_fn done, void *context)
@@ -123,6 +184,13 @@
       done (CY_E_ARGUMENT, context);
       return;
     }
+  if (is_foreign (hub, info))
+    {
+      count_refused ("service");
+      done (CY_E_ANNOUNCE_INVALID, context);
+      return;
+    }
+  bool had_claim = has_claim (hub, info);
   Cy__Instance received = *info;
   if (info->gone && info->born == 0 && !is_present (hub, info->id))
     received.born = (uint64_t)cy_clock_unix_ms (hub->clock);
@@ -134,9 +202,13 @@
       cyc_dispatch_update_servers (hub);
       cyc_hub_schedule_flush (hub);
     }
+  if (effect != CYC_STALE && !had_claim)
+    report_conflict (hub, info->id);
   if (!info->draining && !info->gone)
     {
-      done (CY_OK, context);
+      if (effect == CYC_STALE)
+        count_refused ("stale");
+      done (effect == CYC_STALE ? CY_E_VERSION_CONFLICT : CY_OK, context);
       return;
     }
   const struct cyc_instance *held = cyc_register_find (hub->reg, info->id);
--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -294,6 +294,9 @@
       cym_match_finish (hub->match, &job->request, outcome,
                         (cy_time_ns)done->answer_us * CY_NS_PER_US, &load,
                         cyc_now (hub));
+      if (outcome == CYM_WRONG_SERVER)
+        hub->reports_needed_until
+            = cyc_now (hub) + CYC_INSTANCE_EXPIRY_MS * CY_NS_PER_MS;
       log_health (server, was_returning, ejected_before, done->ending,
                   cyc_now (hub));
       if (server->limit.per_s < limit_before
@@ -358,6 +361,8 @@
     .draining = source->draining || source->leaving
                 || cyc_log_is_drained (hub, source->zone),
     .cold_ms = get_cold_ms (hub, instance, now),
+    .reported_at = instance->last_received,
+    .contested = cyc_register_rival (instance, hub->document) != NULL,
   };
   cym_match_put_server (hub->match, &info, now);
 }
@@ -435,6 +440,8 @@
 cyc_dispatch_heartbeat (struct cyc_hub *hub)
 {
   cyc_dispatch_update_share (hub);
+  if (cyc_now (hub) < hub->reports_needed_until)
+    cyc_dispatch_update_servers (hub);
   cyc_notices_heartbeat (hub);
   drop_orphans (hub, cyc_now (hub));
 }
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -181,6 +181,9 @@
   /* cyc_dispatch.c */
   struct cym_match *match;
   struct cym_quota *quota;
+  /* A server was not at its address: the matcher needs to know until then
+     which servers go on announcing themselves.  */
+  cy_time_ns reports_needed_until;
   struct cyn_timer *match_timer;
   struct cym_loans *loans;
   GHashTable *loan_requests; /* "REGION/SERVICE" to struct cyc_loan_request */
