A server that sent bytes which are no answer has not ended

A connection that libcurl gives up at bytes which are no HTTP counted as one that ended without a byte of an answer, which makes its request suspect of ending servers. The cost of a second suspect request at a server has a name.

--- a/src/core/cym_choose.c
+++ b/src/core/cym_choose.c
@@ -23,6 +23,9 @@
 #define FULL_SERVER_MS 6.0   /* all slots occupied; in proportion for less */
 #define ALL_ERRORS_MS  400.0 /* every answer an error; in proportion */
 #define TRIAL_MS       100.0 /* runs a suspect request, and so may end */
+#define TWO_TRIALS_MS                                                         \
+  1e6 /* the same for another suspect request: of two at                      \
+         a server that ends, one is innocent */
 
 /* Time in s in which the reported number of other placers' requests at a
    server is reduced to 0.  */
@@ -207,11 +210,10 @@
   cost_ns += server->error_ratio * ALL_ERRORS_MS * CY_NS_PER_MS;
   if (server->trial_count > 0)
     cost_ns += TRIAL_MS * CY_NS_PER_MS;
-  /* Of two suspect requests at a server that ends, one is innocent.  */
   if (server->trial_count > 0
       && cym_poison_get_state (match->poison, request->fingerprint, now)
              != CYM_POISON_NONE)
-    cost_ns += 1e12;
+    cost_ns += TWO_TRIALS_MS * CY_NS_PER_MS;
   if (strcmp (server->zone, request->zone) != 0)
     cost_ns += OTHER_ZONE_MS * CY_NS_PER_MS;
   if (request->affinity != 0)
--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -474,7 +474,7 @@
 {
   return call->ended && call->send_count > 0 && call->first_byte_at == 0
          && call->code != CURLE_OK && call->code != CURLE_OPERATION_TIMEDOUT
-         && !call->upload_aborted;
+         && call->head.fault == CYE_ANSWER_SOUND && !call->upload_aborted;
 }
 
 bool
