A suspect request does not move other requests to other servers

The penalty of 100 ms for servers that run a suspect request applied to all requests. While connections are reset, many servers run one. Suspect requests still avoid each other.

--- a/src/core/cym_choose.c
+++ b/src/core/cym_choose.c
@@ -22,7 +22,6 @@
 #define OTHER_ZONE_MS  25.0  /* in another zone than the entry VM */
 #define FULL_SERVER_MS 6.0   /* all slots occupied; in proportion for less */
 #define ALL_ERRORS_MS  400.0 /* every answer an error; in proportion */
-#define TRIAL_MS       100.0 /* runs a suspect request, and so may end */
 
 /* Time in s in which the reported number of other placers' requests at a
    server is reduced to 0.  */
@@ -203,8 +202,6 @@
                 / fmax (server->slots, 1);
   cost_ns += load * FULL_SERVER_MS * CY_NS_PER_MS;
   cost_ns += server->error_ratio * ALL_ERRORS_MS * CY_NS_PER_MS;
-  if (server->trial_count > 0)
-    cost_ns += TRIAL_MS * CY_NS_PER_MS;
   /* Of two suspect requests at a server that ends, one is innocent.  */
   if (server->trial_count > 0
       && cym_poison_get_state (match->poison, request->fingerprint, now)
