Servers that reset connections but go on answering are seen alive sooner

While a server reset a connection every 20 ms, no answer of it counted as a sign of life: only requests placed after the latest reset did.

An answer clears the ends that were recorded before its request was placed, or 150 ms before its first byte. test_signs_of_life: 4 of 9 cases failed before.

--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -473,13 +473,39 @@
     cym_limit_record (&server->limit, INFINITY, request->placed_at, now);
 }
 
+static void
+mark_ended (struct cym_server *server, cy_time_ns now)
+{
+  if (server->first_ended_at == 0)
+    server->first_ended_at = now;
+  server->ended_at = now;
+}
+
+/* Records that SERVER answered REQUEST after ANSWER_TIME, and so has not ended
+   before it got the request or sent the first byte of the answer.  An adopted
+   request shows neither, as its placed_at is 0.  */
+static void
+record_alive (struct cym_match *match, struct cym_server *server,
+              const struct cym_request *request, cy_time_ns answer_time,
+              cy_time_ns now)
+{
+  cy_time_ns way = CYM_POISON_WAY_MS * CY_NS_PER_MS;
+  cy_time_ns alive_at = request->placed_at + MAX (answer_time - way, 0);
+  if (server->first_ended_at == 0 || request->placed_at == 0
+      || alive_at <= server->first_ended_at)
+    return;
+  cym_poison_clear_server (match->poison, server->id, server->incarnation,
+                           alive_at, request, now);
+  server->first_ended_at = server->ended_at < alive_at ? 0 : alive_at;
+}
+
 /* Records what the end of REQUEST at SERVER shows about poison requests.  Only
    a success clears the request: a server that answers with an error may not
    have run it.  */
 static void
 record_poison (struct cym_match *match, struct cym_server *server,
                struct cym_request *request, enum cym_outcome outcome,
-               cy_time_ns now)
+               cy_time_ns answer_time, cy_time_ns now)
 {
   bool answered = outcome == CYM_ANSWERED || outcome == CYM_ERROR
                   || outcome == CYM_NOT_RUN;
@@ -496,17 +522,12 @@
                                           .incarnation = server->incarnation,
                                           .at = now };
       cym_poison_record (match->poison, &end, request, now);
-      server->ended_at = now;
+      mark_ended (server, now);
     }
   if (outcome == CYM_ANSWERED)
     cym_poison_clear (match->poison, request->fingerprint, request, now);
-  if (answered && server->ended_at != 0
-      && request->placed_at > server->ended_at)
-    {
-      cym_poison_clear_server (match->poison, server->id, server->incarnation,
-                               request->placed_at, request, now);
-      server->ended_at = 0;
-    }
+  if (answered)
+    record_alive (match, server, request, answer_time, now);
 }
 
 void
@@ -529,7 +550,7 @@
     cym_answer_time_record (server, request, answer_time, now);
   cym_load_record (server, request->entry_vm, load, now);
   record_limit (server, request, outcome, load, now);
-  record_poison (match, server, request, outcome, now);
+  record_poison (match, server, request, outcome, answer_time, now);
   serve_waiting (match, server, now);
   if (was_trial)
     sweep_servers (match, server->service, now);
@@ -684,7 +705,7 @@
   bool is_new = cym_poison_merge (match->poison, end, NULL, now);
   if (is_new && !end->cleared && server != NULL
       && server->incarnation == end->incarnation)
-    server->ended_at = now;
+    mark_ended (server, now);
 }
 
 struct cym_poison *
--- a/src/core/cym_match.h
+++ b/src/core/cym_match.h
@@ -159,8 +159,9 @@
   double error_ratio;      /* share of failed requests, moving average */
   uint64_t finished_count; /* requests that ended here, with any outcome */
   uint32_t trial_count;    /* suspect requests in flight, see cym_poison.h */
-  /* Latest time at which the incarnation seemed to end under a request, 0:
-     never, or it has answered a request placed later.  */
+  /* First and latest time at which the incarnation seemed to end under a
+     request, since it was last seen alive; 0: never.  */
+  cy_time_ns first_ended_at;
   cy_time_ns ended_at;
   /* Time for which one request occupies a slot in ns, moving average; measured
      at local servers only, 0: not measured.  */
--- a/src/core/cym_poison.c
+++ b/src/core/cym_poison.c
@@ -417,7 +417,7 @@
 
 void
 cym_poison_clear_server (struct cym_poison *poison, const char *id,
-                         uint64_t incarnation, cy_time_ns placed_at,
+                         uint64_t incarnation, cy_time_ns alive_at,
                          const void *cause, cy_time_ns now)
 {
   GHashTableIter iter;
@@ -427,7 +427,7 @@
     {
       struct poison_entry *entry = value;
       struct stored_end *end = find_end (entry, id, incarnation);
-      if (end == NULL || end->cleared || end->at >= placed_at)
+      if (end == NULL || end->cleared || end->at >= alive_at)
         continue;
       enum cym_poison_state before = state_of (entry, now);
       unsigned servers = count_servers (entry);
--- a/src/core/cym_poison.h
+++ b/src/core/cym_poison.h
@@ -5,8 +5,8 @@
 
    The table stores for the fingerprint of a request the server incarnations
    that ended under it: the request was sent there, the connection ended
-   without a byte of an answer, and that incarnation has not answered any
-   request placed later.  Most of these requests are innocent and only ran at
+   without a byte of an answer, and that incarnation has given no later sign
+   of life.  Most of these requests are innocent and only ran at
    the same server, so an answer to the request clears it.
 
    Suspect: one server ended.  A placer runs one request with the fingerprint
@@ -49,6 +49,10 @@
    heartbeats of the control VMs.  Blocked requests are always reported.  */
 #define CYM_POISON_RESEND_S 2
 
+/* Longest time that a message takes from one VM to another, ms: an answer that
+   arrives so much later than the end of a server was not sent before it.  */
+#define CYM_POISON_WAY_MS 150
+
 enum cym_poison_state
 {
   CYM_POISON_NONE,
@@ -109,9 +113,9 @@
                        const void *cause, cy_time_ns now);
 
 /* Clears the ends of INCARNATION of server ID that were recorded before
-   PLACED_AT: it answered a request placed then.  */
+   ALIVE_AT, when it still ran.  */
 void cym_poison_clear_server (struct cym_poison *poison, const char *id,
-                              uint64_t incarnation, cy_time_ns placed_at,
+                              uint64_t incarnation, cy_time_ns alive_at,
                               const void *cause, cy_time_ns now);
 
 enum cym_poison_state cym_poison_get_state (const struct cym_poison *poison,
--- a/tests/match/test_poison.c
+++ b/tests/match/test_poison.c
@@ -779,6 +779,77 @@
 }
 END_TEST
 
+/* Signs of life of a server that reset the connection of a request 100 ms
+   after the start, and those of others again and again.  */
+static const struct
+{
+  const char *name;
+  int64_t placed_ms; /* of a request that the server answers */
+  int64_t answer_ms; /* from then to the first byte of the answer */
+  enum cym_outcome outcome;
+  bool shows_life;
+} signs[] = {
+  { "placed and answered before", 10, 60, CYM_ANSWERED, false },
+  { "answered soon after, may be on its way", 10, 200, CYM_ANSWERED, false },
+  { "answered late", 10, 300, CYM_ANSWERED, true },
+  { "placed later", 101, 20, CYM_ANSWERED, true },
+  { "placed later, an error", 101, 20, CYM_ERROR, true },
+  { "placed later, not run", 101, 20, CYM_NOT_RUN, true },
+  { "placed later, timed out", 101, 0, CYM_TIMED_OUT, false },
+  { "placed later, broken", 101, 20, CYM_BROKEN, false },
+  { "placed later, cancelled", 101, 0, CYM_CANCELLED, false },
+};
+
+START_TEST (test_signs_of_life)
+{
+  struct cym_load load = { 0 };
+  struct cym_request others[8];
+  struct cym_request poison = { .service = "s",
+                                .route = "r",
+                                .workspace = "",
+                                .zone = "a",
+                                .goal_at = 2000 * S,
+                                .deadline_at = 2000 * S };
+  struct cym_request answered = poison;
+  world_create ();
+  cy_time_ns start = world.now;
+  /* One server is left.  */
+  for (unsigned i = 1; i < SERVER_COUNT; i++)
+    world.servers[i].down = true;
+  put_servers ();
+  struct cym_match *match = world.matches[0];
+  poison.fingerprint = POISON;
+  poison.reset = true;
+  answered.fingerprint = POPULAR;
+  ck_assert_int_eq (cym_match_place (match, &poison, start), CY_OK);
+  if (signs[_i].placed_ms < 100)
+    ck_assert_int_eq (
+        cym_match_place (match, &answered, start + signs[_i].placed_ms * MS),
+        CY_OK);
+  cym_match_finish (match, &poison, CYM_CANCELLED, 0, &load, start + 100 * MS);
+  if (signs[_i].placed_ms > 100)
+    ck_assert_int_eq (
+        cym_match_place (match, &answered, start + signs[_i].placed_ms * MS),
+        CY_OK);
+  for (unsigned i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      cy_time_ns now = start + (105 + i * 20) * MS;
+      others[i] = poison;
+      others[i].fingerprint = 1000 + i;
+      ck_assert_int_eq (cym_match_place (match, &others[i], now), CY_OK);
+      cym_match_finish (match, &others[i], CYM_CANCELLED, 0, &load, now + MS);
+    }
+  cy_time_ns end = start + 500 * MS;
+  cym_match_finish (match, &answered, signs[_i].outcome,
+                    signs[_i].answer_ms * MS, &load, end);
+  bool cleared = cym_poison_get_state (cym_match_poison (match), POISON, end)
+                 == CYM_POISON_NONE;
+  ck_assert_msg (cleared == signs[_i].shows_life, "%s: %s", signs[_i].name,
+                 cleared ? "cleared" : "suspect");
+  world_destroy ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -790,6 +861,7 @@
   tcase_add_test (tcase, test_resets);
   tcase_add_test (tcase, test_new_placer);
   tcase_add_test (tcase, test_adopted);
+  tcase_add_loop_test (tcase, test_signs_of_life, 0, G_N_ELEMENTS (signs));
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
 }
