--- a/tests/hub/test_contested.c
+++ b/tests/hub/test_contested.c
@@ -102,7 +102,10 @@
 world_create (struct world *world)
 {
   struct cyj_error error;
-  struct cym_options options = { .region = "r", .random = &world->random };
+  struct cym_options options
+      = { .region = "r",
+          .random = &world->random,
+          .limits = { .retries = { .window = 10 * CY_NS_PER_S } } };
   memset (world, 0, sizeof *world);
   world->now = 1000 * CY_NS_PER_S;
   world->seed = 7;
