Entry VMs without a control VM, and new ones, know blocked requests

poison_request.sh failed once in six runs, beside load: after the restart of a control VM a third server ended. The entry VM placed the request by itself, or the new control VM did before the first heartbeat of the others.

An entry VM keeps the ends that its requests showed and the blocks that its placer told it, for its own matcher.

--- a/src/core/cym_poison.c
+++ b/src/core/cym_poison.c
@@ -23,8 +23,9 @@
 {
   uint64_t fingerprint;
   struct stored_ends ends;
-  unsigned end_count;   /* length of ENDS */
-  unsigned trial_count; /* trials in flight */
+  unsigned end_count;    /* length of ENDS */
+  unsigned trial_count;  /* trials in flight */
+  cy_time_ns told_until; /* end of the block by another placer, 0: none */
 };
 
 struct cym_poison
@@ -82,12 +83,13 @@
   return g_hash_table_lookup (poison->entries, &fingerprint);
 }
 
-/* Time of the latest end of ENTRY, cleared or not, 0 if it has none.  */
+/* Time of the latest end of ENTRY, cleared or not, or of the end of the block
+   by another placer; 0 if it has none.  */
 static cy_time_ns
 latest_at (const struct poison_entry *entry)
 {
   const struct stored_end *end = NULL;
-  cy_time_ns latest = 0;
+  cy_time_ns latest = entry->told_until;
   CK_LIST_FOREACH (end, &entry->ends, entry)
   {
     latest = MAX (latest, end->at);
@@ -111,7 +113,7 @@
   return count;
 }
 
-/* Time at which the block of ENTRY ends, INT64_MIN if it has none.  */
+/* Time at which the block of ENTRY ends, 0 if it has none.  */
 static cy_time_ns
 blocked_until (const struct poison_entry *entry)
 {
@@ -119,7 +121,7 @@
   cy_time_ns latest = INT64_MIN;
   unsigned servers = count_servers (entry);
   if (servers < CYM_POISON_BLOCK_COUNT)
-    return INT64_MIN;
+    return entry->told_until;
   CK_LIST_FOREACH (end, &entry->ends, entry)
   {
     if (!end->cleared)
@@ -127,15 +129,19 @@
   }
   unsigned doublings
       = MIN (servers - CYM_POISON_BLOCK_COUNT, CYM_POISON_DOUBLINGS_MAX);
-  return latest + ((int64_t)CYM_POISON_BLOCK_S << doublings) * CY_NS_PER_S;
+  cy_time_ns until
+      = latest + ((int64_t)CYM_POISON_BLOCK_S << doublings) * CY_NS_PER_S;
+  return MAX (until, entry->told_until);
 }
 
 static enum cym_poison_state
 state_of (const struct poison_entry *entry, cy_time_ns now)
 {
-  if (entry == NULL || is_expired (entry, now) || count_servers (entry) == 0)
+  if (entry == NULL || is_expired (entry, now))
     return CYM_POISON_NONE;
-  return blocked_until (entry) > now ? CYM_POISON_BLOCKED : CYM_POISON_SUSPECT;
+  if (blocked_until (entry) > now)
+    return CYM_POISON_BLOCKED;
+  return count_servers (entry) == 0 ? CYM_POISON_NONE : CYM_POISON_SUSPECT;
 }
 
 enum cym_poison_state
@@ -394,6 +400,16 @@
   return stored == NULL;
 }
 
+void
+cym_poison_block (struct cym_poison *poison, uint64_t fingerprint,
+                  cy_time_ns until, cy_time_ns now)
+{
+  if (fingerprint == 0)
+    return;
+  struct poison_entry *entry = get_entry (poison, fingerprint, now);
+  entry->told_until = MAX (entry->told_until, until);
+}
+
 void
 cym_poison_clear (struct cym_poison *poison, uint64_t fingerprint,
                   const void *cause, cy_time_ns now)
@@ -404,6 +420,7 @@
     return;
   enum cym_poison_state before = state_of (entry, now);
   unsigned servers = count_servers (entry);
+  entry->told_until = 0;
   CK_LIST_FOREACH (end, &entry->ends, entry)
   {
     if (end->cleared)
--- a/src/core/cym_poison.h
+++ b/src/core/cym_poison.h
@@ -108,6 +108,10 @@
                        const struct cym_poison_end *end, const void *cause,
                        cy_time_ns now);
 
+/* Blocks FINGERPRINT until UNTIL, as another placer did.  */
+void cym_poison_block (struct cym_poison *poison, uint64_t fingerprint,
+                       cy_time_ns until, cy_time_ns now);
+
 /* Clears FINGERPRINT, which a server answered.  */
 void cym_poison_clear (struct cym_poison *poison, uint64_t fingerprint,
                        const void *cause, cy_time_ns now);
--- a/src/entry/cye_hub_place.c
+++ b/src/entry/cye_hub_place.c
@@ -344,6 +344,10 @@
     }
   else
     remove_open (hub, place);
+  if (result == CY_E_POISON_REQUEST)
+    cym_poison_block (cym_match_poison (hub->match), place->fingerprint,
+                      cye_hub_now (hub) + place->retry_after_ms * CY_NS_PER_MS,
+                      cye_hub_now (hub));
   place->on_answer (place, result);
 }
 
@@ -458,6 +462,24 @@
     }
 }
 
+/* Keeps what the end of PLACE, which a control VM placed, shows about a poison
+   request, for the time without a control VM.  */
+static void
+record_poison (struct cye_hub *hub, const struct cye_place *place,
+               enum cym_outcome ending)
+{
+  cy_time_ns now = cye_hub_now (hub);
+  const struct cym_poison_end end = { .fingerprint = place->fingerprint,
+                                      .id = place->instance,
+                                      .incarnation = place->incarnation,
+                                      .at = now };
+  if (place->reset)
+    cym_match_merge_poison (hub->match, &end, now);
+  if (ending == CYM_ANSWERED)
+    cym_poison_clear (cym_match_poison (hub->match), place->fingerprint, NULL,
+                      now);
+}
+
 static void
 mark_suspect (struct cye_hub *hub, const struct cye_place *place)
 {
@@ -480,6 +502,7 @@
       return;
     case CYE_PLACER_CONTROL_VM:
       send_place_done (hub->placer, place, ending, answer_ns, load);
+      record_poison (hub, place, ending);
       remove_open (hub, place);
       break;
     case CYE_PLACER_SELF:
@@ -573,7 +596,9 @@
     .request_id = place == NULL ? NULL : place->request_id,
   };
   (void)context;
-  cyu_event_poison (&event);
+  /* What a control VM placed is in that VM's log.  */
+  if (request != NULL)
+    cyu_event_poison (&event);
 }
 
 void
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -370,9 +370,9 @@
 /* Schedules a message to the other control VMs if there is a change.  */
 void cyc_poison_schedule (struct cyc_hub *hub);
 
-/* Adds the changes to SYNC, with the heartbeat also what earlier messages
-   reported; cyc_poison_clear_sync frees them.  */
-void cyc_poison_fill_sync (struct cyc_hub *hub, Cy__HubSync *sync);
+/* Adds the changes to SYNC, with FULL also what earlier messages reported;
+   cyc_poison_clear_sync frees them.  */
+void cyc_poison_fill_sync (struct cyc_hub *hub, Cy__HubSync *sync, bool full);
 void cyc_poison_clear_sync (Cy__HubSync *sync);
 void cyc_poison_receive (struct cyc_hub *hub, const Cy__HubSync *sync);
 
--- a/src/hub/cyc_links.c
+++ b/src/hub/cyc_links.c
@@ -378,6 +378,20 @@
   sync_clear (sync);
 }
 
+/* True when a connection to another control VM has carried nothing yet.  */
+static bool
+has_new_peer (const struct cyc_hub *hub)
+{
+  const struct cyc_peer *peer = NULL;
+  CK_LIST_FOREACH (peer, &hub->peers, entry)
+  {
+    if (peer->conn != NULL && cyn_conn_is_open (peer->conn)
+        && peer->last_sent == 0)
+      return true;
+  }
+  return false;
+}
+
 void
 cyc_links_send (struct cyc_hub *hub, bool heartbeat)
 {
@@ -420,7 +434,7 @@
       cyc_lending_fill_sync (hub, &common);
       cyc_retry_budget_fill_sync (hub, &common);
     }
-  cyc_poison_fill_sync (hub, &common);
+  cyc_poison_fill_sync (hub, &common, heartbeat || has_new_peer (hub));
   CK_LIST_FOREACH (peer, &hub->peers, entry)
   {
     if (peer->conn == NULL || !cyn_conn_is_open (peer->conn))
--- a/src/hub/cyc_poison.c
+++ b/src/hub/cyc_poison.c
@@ -27,10 +27,10 @@
 }
 
 void
-cyc_poison_fill_sync (struct cyc_hub *hub, Cy__HubSync *sync)
+cyc_poison_fill_sync (struct cyc_hub *hub, Cy__HubSync *sync, bool full)
 {
   struct end_collector collector = { g_ptr_array_new (), cyc_now (hub) };
-  cym_poison_report (cym_match_poison (hub->match), sync->rests, collector.now,
+  cym_poison_report (cym_match_poison (hub->match), full, collector.now,
                      add_end, &collector);
   sync->n_poison = collector.list->len;
   sync->poison
--- a/tests/match/test_poison.c
+++ b/tests/match/test_poison.c
@@ -20,7 +20,8 @@
   OP_HEARD,         /* another placer reported that SERVER ended */
   OP_HEARD_CLEARED, /* another placer reported that the request did not */
   OP_ANSWER,        /* a server answered the request */
-  OP_ALIVE,         /* SERVER answered a request placed at PLACED_S */
+  OP_ALIVE,         /* SERVER was alive at PLACED_S */
+  OP_TOLD,          /* another placer blocks it for PLACED_S */
   OP_TRIAL,         /* a trial starts */
   OP_TRIAL_END
 };
@@ -31,7 +32,7 @@
   enum op op; /* 0: end of the list */
   const char *server;
   uint64_t incarnation;
-  double placed_s; /* of OP_ALIVE; age in s of OP_HEARD */
+  double placed_s; /* of OP_ALIVE and OP_TOLD; age in s of OP_HEARD */
 };
 
 static const struct
@@ -159,6 +160,30 @@
     CYM_POISON_SUSPECT,
     CYM_POISON_PLACE,
     0 },
+  { "blocked by another placer",
+    { { 0, OP_TOLD, "", 0, 20 } },
+    1,
+    CYM_POISON_BLOCKED,
+    CYM_POISON_REFUSE,
+    19 },
+  { "blocked by another placer after an end",
+    { { 0, OP_END, "a", 1, 0 }, { 0, OP_TOLD, "", 0, 20 } },
+    20,
+    CYM_POISON_SUSPECT,
+    CYM_POISON_PLACE,
+    0 },
+  { "another placer's block has ended",
+    { { 0, OP_TOLD, "", 0, 20 } },
+    20,
+    CYM_POISON_NONE,
+    CYM_POISON_PLACE,
+    0 },
+  { "answered in spite of another placer's block",
+    { { 0, OP_TOLD, "", 0, 20 }, { 1, OP_ANSWER, "", 0, 0 } },
+    1,
+    CYM_POISON_NONE,
+    CYM_POISON_PLACE,
+    0 },
   { "a trial after the block",
     { { 0, OP_END, "a", 1, 0 }, { 0, OP_END, "b", 1, 0 } },
     30,
@@ -242,6 +267,10 @@
       cym_poison_clear_server (poison, step->server, step->incarnation,
                                at_s (step->placed_s), NULL, now);
       break;
+    case OP_TOLD:
+      cym_poison_block (poison, 7, now + (cy_time_ns)(step->placed_s * S),
+                        now);
+      break;
     case OP_TRIAL:
       ck_assert (cym_poison_start_trial (poison, 7, now));
       break;
