A connection is found by both of its ends

The check for unread input looked at the wrong socket where two connections to different servers share a local port, as the kernel allows: a connection with unread input was taken for clean.

--- a/src/entry/cye_call.c
+++ b/src/entry/cye_call.c
@@ -94,10 +94,9 @@
 static int
 before_send (void *context, char *ip, char *local_ip, int port, int local_port)
 {
-  (void)ip;
-  (void)port;
   struct cye_call *call = context;
   struct cyh_client *client = call->options.client;
+  const struct cyh_ends ends = { local_ip, local_port, ip, port };
   cy_time_ns now = cy_clock_now (call->options.clock);
   if (call->send_count > 0)
     return CURL_PREREQFUNC_ABORT;
@@ -108,8 +107,8 @@
   if (call->expired)
     return CURL_PREREQFUNC_ABORT;
   if (call->opened_connection)
-    cyh_client_add_socket (client, call->socket, local_ip, local_port);
-  else if (!cyh_client_is_clean (client, local_ip, local_port))
+    cyh_client_add_socket (client, call->socket, &ends);
+  else if (!cyh_client_is_clean (client, &ends))
     {
       call->stale = true;
       return CURL_PREREQFUNC_ABORT;
--- a/src/http/cyh_client.c
+++ b/src/http/cyh_client.c
@@ -1,10 +1,7 @@
 #include "http/cyh_client.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,7 +17,8 @@
   void (*after_round) (void *context);
   void *context;
   GPtrArray *spare_handles; /* CURL, owned */
-  GHashTable *sockets;      /* "HOST PORT" of this end to the socket */
+  GHashTable *sockets;      /* names of both ends to the socket */
+  GHashTable *socket_names; /* socket to the names of its ends */
 };
 
 void
@@ -141,55 +139,41 @@
 /* ------------------------------------------------------------ sockets */
 
 static char *
-socket_key (const char *host, int port)
+print_ends (const struct cyh_ends *ends)
 {
-  return g_strdup_printf ("%s %d", host, port);
+  return g_strdup_printf ("%s %d %s %d", ends->local_host, ends->local_port,
+                          ends->remote_host, ends->remote_port);
 }
 
-/* Key of the local end of FD, NULL if it has none.  */
-static char *
-read_socket_key (curl_socket_t fd)
+/* Removes FD from the table: its number may be used again.  */
+static void
+remove_socket (struct cyh_client *client, curl_socket_t fd)
 {
-  union
-  {
-    struct sockaddr any;
-    struct sockaddr_in v4;
-    struct sockaddr_in6 v6;
-  } local;
-  char host[INET6_ADDRSTRLEN];
-  socklen_t length = sizeof local;
-  memset (&local, 0, sizeof local);
-  if (getsockname (fd, &local.any, &length) != 0)
-    return NULL;
-  if (local.any.sa_family == AF_INET
-      && inet_ntop (AF_INET, &local.v4.sin_addr, host, sizeof host) != NULL)
-    return socket_key (host, ntohs (local.v4.sin_port));
-  if (local.any.sa_family == AF_INET6
-      && inet_ntop (AF_INET6, &local.v6.sin6_addr, host, sizeof host) != NULL)
-    return socket_key (host, ntohs (local.v6.sin6_port));
-  return NULL;
+  const char *name
+      = g_hash_table_lookup (client->socket_names, GINT_TO_POINTER (fd));
+  if (name == NULL)
+    return;
+  if (GPOINTER_TO_INT (g_hash_table_lookup (client->sockets, name)) == fd)
+    g_hash_table_remove (client->sockets, name);
+  g_hash_table_remove (client->socket_names, GINT_TO_POINTER (fd));
 }
 
 static int
 close_socket (void *context, curl_socket_t fd)
 {
-  struct cyh_client *client = context;
-  char *key = read_socket_key (fd);
-  gpointer known;
-  if (key != NULL
-      && g_hash_table_lookup_extended (client->sockets, key, NULL, &known)
-      && GPOINTER_TO_INT (known) == fd)
-    g_hash_table_remove (client->sockets, key);
-  g_free (key);
+  remove_socket (context, fd);
   return close (fd);
 }
 
 void
 cyh_client_add_socket (struct cyh_client *client, curl_socket_t fd,
-                       const char *local_host, int local_port)
+                       const struct cyh_ends *ends)
 {
-  g_hash_table_replace (client->sockets, socket_key (local_host, local_port),
+  char *name = print_ends (ends);
+  remove_socket (client, fd);
+  g_hash_table_replace (client->sockets, g_strdup (name),
                         GINT_TO_POINTER (fd));
+  g_hash_table_replace (client->socket_names, GINT_TO_POINTER (fd), name);
 }
 
 void
@@ -200,14 +184,14 @@
 }
 
 bool
-cyh_client_is_clean (const struct cyh_client *client, const char *local_host,
-                     int local_port)
+cyh_client_is_clean (const struct cyh_client *client,
+                     const struct cyh_ends *ends)
 {
-  char *key = socket_key (local_host, local_port);
+  char *name = print_ends (ends);
   gpointer fd;
-  bool known = g_hash_table_lookup_extended (client->sockets, key, NULL, &fd);
+  bool known = g_hash_table_lookup_extended (client->sockets, name, NULL, &fd);
   char byte;
-  g_free (key);
+  g_free (name);
   return known
          && recv (GPOINTER_TO_INT (fd), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
          && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -226,6 +210,8 @@
   client->spare_handles = g_ptr_array_new ();
   client->sockets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  client->socket_names
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   client->timer = cyn_timer_create (options->loop, on_timer, client);
   client->multi = curl_multi_init ();
   if (client->multi == NULL)
@@ -250,6 +236,7 @@
   g_ptr_array_free (client->spare_handles, TRUE);
   curl_multi_cleanup (client->multi);
   g_hash_table_destroy (client->sockets);
+  g_hash_table_destroy (client->socket_names);
   cyn_timer_destroy (client->timer);
   g_free (client);
 }
--- a/src/http/cyh_client.h
+++ b/src/http/cyh_client.h
@@ -45,20 +45,29 @@
    gives it back with cyh_client_release.  */
 CURL *cyh_client_acquire (struct cyh_client *client);
 
-/* Records that FD, which EASY has opened, is the socket of the connection from
-   port LOCAL_PORT of address LOCAL_HOST.  EASY then needs cyh_client_track. */
+/* Both ends of a connection.  One local port serves several remote ones.  */
+struct cyh_ends
+{
+  const char *local_host; /* numeric, as libcurl prints it */
+  int local_port;
+  const char *remote_host;
+  int remote_port;
+};
+
+/* Records that FD is the socket of the connection between ENDS.  The transfer
+   that opened it needs cyh_client_track.  */
 void cyh_client_add_socket (struct cyh_client *client, curl_socket_t fd,
-                            const char *local_host, int local_port);
+                            const struct cyh_ends *ends);
 
 /* Lets EASY report the end of its connections, which may outlive it.  Before
    cyh_client_add.  */
 void cyh_client_track (struct cyh_client *client, CURL *easy);
 
-/* True when the recorded connection from LOCAL_PORT of LOCAL_HOST is open and
-   has no unread input.  A persistent connection with unread input has received
+/* True when the recorded connection between ENDS is open and has no unread
+   input.  A persistent connection with unread input has received
    bytes that belong to no request: the next answer would continue them.  */
 bool cyh_client_is_clean (const struct cyh_client *client,
-                          const char *local_host, int local_port);
+                          const struct cyh_ends *ends);
 
 /* Takes back EASY, which cyh_client_acquire returned and which is in no
    transfer.  */
