Dropping an orphaned request frees no job that is looked at next

A placed request whose end is not reported gives its slot to a waiting one; one that can't be placed then is refused and its job freed, which may be the next one of the list that is being walked. Class: a list is walked while what is called may change it. The search now starts again after each drop.

--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -429,21 +429,31 @@
       share / (double)cyc_topology_region_count (hub->options.topology), now);
 }
 
+static struct cyc_job *
+find_orphan (const struct cyc_hub *hub, cy_time_ns now)
+{
+  struct cyc_job *job = NULL;
+  CK_LIST_FOREACH (job, &hub->jobs, entry)
+  {
+    if (now >= job->expires_at && !job->request.queued)
+      return job;
+  }
+  return NULL;
+}
+
 /* Drops placed requests whose end was not reported in time, and so frees their
-   slots.  */
+   slots.  A free slot may end waiting requests and so free other jobs.  */
 static void
 drop_orphans (struct cyc_hub *hub, cy_time_ns now)
 {
   struct cyc_job *job = NULL;
-  struct cyc_job *next = NULL;
   struct cym_load load = { 0 };
-  CK_LIST_FOREACH_SAFE (job, &hub->jobs, entry, next)
-  {
-    if (now < job->expires_at || job->request.queued)
-      continue;
-    cym_match_finish (hub->match, &job->request, CYM_CANCELLED, 0, &load, now);
-    job_free (job);
-  }
+  while ((job = find_orphan (hub, now)) != NULL)
+    {
+      cym_match_finish (hub->match, &job->request, CYM_CANCELLED, 0, &load,
+                        now);
+      job_free (job);
+    }
 }
 
 void
