Suspect requests fill no queue; streamed bodies have no fingerprint

Two faults of the table of poison requests, found by the review of the merge. Held copies of one suspect request counted as queue: 512 of them and an innocent request with all slots in use got CY_E_QUEUE_FULL (a program of the reviewer). Now 16 at most wait for a service, the others are refused at once; test_held failed before (512 waited) and passes. And bodies that are streamed were left out of the fingerprint, so that uploads to one path shared it and the ends of two servers would have blocked them all (read, no test): they have none now.

An attempt that found a stale connection and is not started again ejects no server (read, no test).

--- a/src/core/cym_queue.c
+++ b/src/core/cym_queue.c
@@ -9,6 +9,10 @@
 /* Maximum of waiting requests of one service.  */
 #define WAITING_MAX_COUNT 512
 
+/* Maximum of requests of one service that wait for the end of a trial, see
+   cym_poison.h: they count as queue for the others.  */
+#define HELD_MAX_COUNT 16
+
 /* A route or workspace is starved when the placed part of its requests is
    below STARVED_RATIO of that of all requests, if at least STARVED_MIN_OFFERED
    of its requests came recently.  */
@@ -310,6 +314,22 @@
   return CY_E_AGAIN;
 }
 
+/* True when the maximum of requests of SERVICE waits for the ends of trials.
+ */
+static bool
+holds_enough (const struct cym_match *match, const struct cym_service *service,
+              cy_time_ns now)
+{
+  const struct cym_request *request = NULL;
+  unsigned held = 0;
+  TAILQ_FOREACH (request, &service->waiting, entry)
+  {
+    held += cym_poison_check (match->poison, request->fingerprint, now)
+            == CYM_POISON_WAIT;
+  }
+  return held >= HELD_MAX_COUNT;
+}
+
 cy_result
 cym_queue_hold (struct cym_match *match, struct cym_request *request,
                 cy_time_ns now)
@@ -323,7 +343,8 @@
   double wait_max_ns
       = fmin (fmax (goal_slack_ns, (double)request->wait_past_goal),
               deadline_slack_ns);
-  if (wait_max_ns <= 0 || service->waiting_count >= WAITING_MAX_COUNT)
+  if (wait_max_ns <= 0 || service->waiting_count >= WAITING_MAX_COUNT
+      || holds_enough (match, service, now))
     {
       request->retry_after_ms = cym_queue_retry_after_ms (match, request, now);
       return CY_E_POISON_REQUEST;
--- a/src/entry/cye_forward.c
+++ b/src/entry/cye_forward.c
@@ -232,7 +232,7 @@
   if (result == CY_OK)
     return cye_call_head (call)->status >= 500 ? CYM_ERROR : CYM_ANSWERED;
   cye_call_times (call, &times);
-  if (cye_call_expired (call))
+  if (cye_call_expired (call) || cye_call_stale (call))
     return CYM_CANCELLED;
   if (!cye_call_sent (call))
     return CYM_UNREACHABLE;
--- a/src/entry/cye_place.c
+++ b/src/entry/cye_place.c
@@ -58,19 +58,21 @@
   cye_admit_slot_answered (request, result);
 }
 
-/* Sets the fingerprint of REQUEST, the same for all attempts.  A body that is
-   still being received is not part of it.  */
+/* Sets the fingerprint of REQUEST, the same for all attempts.  None when the
+   body is not at hand as a whole: different bodies would share one.  */
 static void
 set_fingerprint (struct cye_request *request)
 {
   const struct cye_buffer *body = &request->upload;
   const char *host = request->host == NULL ? "" : request->host;
+  if (!body->complete || body->consumed > 0
+      || body->array->len != request->body_received)
+    return;
   uint64_t hash = XXH3_64bits (request->method, strlen (request->method));
   hash = XXH3_64bits_withSeed (host, strlen (host), hash);
   hash = XXH3_64bits_withSeed (request->target.raw,
                                strlen (request->target.raw), hash);
-  if (body->complete && body->consumed == 0 && body->array->len > 0
-      && body->array->len == request->body_received)
+  if (body->array->len > 0)
     hash = XXH3_64bits_withSeed (body->array->data, body->array->len, hash);
   request->place.fingerprint = hash == 0 ? 1 : hash;
 }
--- a/tests/match/test_poison.c
+++ b/tests/match/test_poison.c
@@ -879,6 +879,62 @@
 }
 END_TEST
 
+static void
+ignore_decision (struct cym_request *request, cy_result result)
+{
+  (void)request;
+  (void)result;
+}
+
+/* Many copies of a suspect request don't fill the queue for other requests. */
+START_TEST (test_held)
+{
+  struct cym_load load = { 0 };
+  struct cym_request held[600];
+  struct cym_request running[SERVERS_PER_REGION * 6];
+  unsigned waiting = 0;
+  world_create ();
+  struct cym_match *match = world.matches[0];
+  struct cym_request poison = { .service = "s",
+                                .route = "r",
+                                .workspace = "",
+                                .zone = "a",
+                                .fingerprint = POISON,
+                                .reset = true,
+                                .goal_at = 2000 * S,
+                                .deadline_at = 2000 * S,
+                                .on_decision = ignore_decision };
+  struct cym_request trial = poison;
+  struct cym_request other = poison;
+  other.fingerprint = POPULAR;
+  ck_assert_int_eq (cym_match_place (match, &poison, world.now), CY_OK);
+  cym_match_finish (match, &poison, CYM_BROKEN, 0, &load, world.now);
+  ck_assert_int_eq (cym_match_place (match, &trial, world.now), CY_OK);
+  for (unsigned i = 0; i < G_N_ELEMENTS (held); i++)
+    {
+      held[i] = trial;
+      cy_result result = cym_match_place (match, &held[i], world.now);
+      ck_assert (result == CY_E_AGAIN || result == CY_E_POISON_REQUEST);
+      waiting += result == CY_E_AGAIN;
+    }
+  ck_assert_uint_ge (waiting, 1);
+  /* All slots are in use: OTHER waits for one, and for few others.  */
+  for (unsigned i = 0; i < SERVERS_PER_REGION * 6 - 1; i++)
+    {
+      running[i] = other;
+      running[i].fingerprint = 1000 + i;
+      cym_match_place (match, &running[i], world.now);
+    }
+  ck_assert_uint_le (waiting, 16);
+  ck_assert_int_eq (cym_match_place (match, &other, world.now), CY_E_AGAIN);
+  /* The rest of the world is not played: it owns no request.  */
+  for (unsigned i = 0; i < G_N_ELEMENTS (held); i++)
+    cym_match_cancel (match, &held[i]);
+  cym_match_cancel (match, &other);
+  world_destroy ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -890,6 +946,7 @@
   tcase_add_test (tcase, test_resets);
   tcase_add_test (tcase, test_new_placer);
   tcase_add_test (tcase, test_adopted);
+  tcase_add_test (tcase, test_held);
   tcase_add_loop_test (tcase, test_signs_of_life, 0, G_N_ELEMENTS (signs));
   suite_add_tcase (suite, tcase);
   return cy_test_run (suite);
