Trials of suspect requests have a file of their own

What the ends of requests tell the table of poison requests moves to cym_trial.c unchanged. test_poison, test_match, test_limit, test_notices and test_loans pass.

--- a/src/core/cym_internal.h
+++ b/src/core/cym_internal.h
@@ -1,8 +1,9 @@
 /* Parts of the matcher that are shared by cym_match.c (placing, ends of
    requests, time), cym_choose.c (choice of a server), cym_queue.c (waiting
    requests and their order), cym_affinity.c (objects that servers have
-   cached), cym_spillover.c (demand between regions, spillover) and
-   cym_health.c (ejection and measured speed of servers).  */
+   cached), cym_spillover.c (demand between regions, spillover), cym_health.c
+   (ejection and measured speed of servers) and cym_trial.c (requests that may
+   end servers).  */
 
 #ifndef CYM_INTERNAL_H
 #define CYM_INTERNAL_H
@@ -243,6 +244,28 @@
 /* Removes all pauses of SERVER.  */
 void cym_pause_clear (struct cym_server *server);
 
+/* ---- cym_trial.c */
+
+/* Counts REQUEST, which has its server, as a trial if it is suspect.  */
+void cym_trial_start (struct cym_match *match, struct cym_request *request,
+                      cy_time_ns now);
+
+/* True when REQUEST is blocked or waits for the end of a trial.  */
+bool cym_trial_is_suspended (const struct cym_match *match,
+                             const struct cym_request *request,
+                             cy_time_ns now);
+
+/* Refuses REQUEST, which is suspended: sets its retry_after_ms.  */
+cy_result cym_trial_refuse (struct cym_match *match,
+                            struct cym_request *request, cy_time_ns now);
+
+/* Records what the end of REQUEST at SERVER shows about poison requests.  Only
+   a success clears the request: a server that answers with an error may not
+   have run it.  */
+void cym_trial_record (struct cym_match *match, struct cym_server *server,
+                       struct cym_request *request, enum cym_outcome outcome,
+                       cy_time_ns answer_time, cy_time_ns now);
+
 /* ---- cym_queue.c */
 
 /* Puts REQUEST into the queue: CY_E_AGAIN, or returns why it is refused.
--- a/src/core/cym_match.c
+++ b/src/core/cym_match.c
@@ -222,15 +222,6 @@
   return CY_E_RETRY_BUDGET;
 }
 
-static void
-start_trial (struct cym_match *match, struct cym_request *request,
-             cy_time_ns now)
-{
-  request->is_trial
-      = cym_poison_start_trial (match->poison, request->fingerprint, now);
-  request->server->trial_count += request->is_trial;
-}
-
 cy_result
 cym_place_at_server (struct cym_match *match, struct cym_request *request,
                      struct cym_server *server, cy_time_ns now)
@@ -265,7 +256,7 @@
   match->total.placed += 1;
   request->workspace_stats->placed += 1;
   cym_affinity_record (server, request->affinity);
-  start_trial (match, request, now);
+  cym_trial_start (match, request, now);
   return CY_OK;
 }
 
@@ -368,18 +359,6 @@
   return result;
 }
 
-static cy_result
-refuse_poison (struct cym_match *match, struct cym_request *request,
-               cy_time_ns now)
-{
-  cy_time_ns blocked_time
-      = cym_poison_blocked_time (match->poison, request->fingerprint, now);
-  request->retry_after_ms
-      = blocked_time > 0 ? (uint32_t)(blocked_time / CY_NS_PER_MS) + 1
-                         : cym_queue_retry_after_ms (match, request, now);
-  return CY_E_POISON_REQUEST;
-}
-
 cy_result
 cym_match_place (struct cym_match *match, struct cym_request *request,
                  cy_time_ns now)
@@ -399,7 +378,7 @@
   enum cym_poison_verdict verdict
       = cym_poison_check (match->poison, request->fingerprint, now);
   if (verdict == CYM_POISON_REFUSE)
-    return refuse_poison (match, request, now);
+    return cym_trial_refuse (match, request, now);
   if (request->is_retry && !has_retry_left (match, request, now))
     return refuse_retry (request);
   if (!request->is_retry && !request->counted)
@@ -454,7 +433,7 @@
   server->in_flight++;
   if (request->remote_only)
     cym_demand_count_remote_only (request, 1);
-  start_trial (match, request, now);
+  cym_trial_start (match, request, now);
   return true;
 }
 
@@ -473,63 +452,6 @@
     cym_limit_record (&server->limit, INFINITY, request->placed_at, now);
 }
 
-static void
-mark_ended (struct cym_server *server, cy_time_ns now)
-{
-  if (server->first_ended_at == 0)
-    server->first_ended_at = now;
-  server->ended_at = now;
-}
-
-/* Records that SERVER answered REQUEST after ANSWER_TIME, and so has not ended
-   before it got the request or sent the first byte of the answer.  An adopted
-   request shows neither, as its placed_at is 0.  */
-static void
-record_alive (struct cym_match *match, struct cym_server *server,
-              const struct cym_request *request, cy_time_ns answer_time,
-              cy_time_ns now)
-{
-  cy_time_ns way = CYM_POISON_WAY_MS * CY_NS_PER_MS;
-  cy_time_ns alive_at = request->placed_at + MAX (answer_time - way, 0);
-  if (server->first_ended_at == 0 || request->placed_at == 0
-      || alive_at <= server->first_ended_at)
-    return;
-  cym_poison_clear_server (match->poison, server->id, server->incarnation,
-                           alive_at, request, now);
-  server->first_ended_at = server->ended_at < alive_at ? 0 : alive_at;
-}
-
-/* Records what the end of REQUEST at SERVER shows about poison requests.  Only
-   a success clears the request: a server that answers with an error may not
-   have run it.  */
-static void
-record_poison (struct cym_match *match, struct cym_server *server,
-               struct cym_request *request, enum cym_outcome outcome,
-               cy_time_ns answer_time, cy_time_ns now)
-{
-  bool answered = outcome == CYM_ANSWERED || outcome == CYM_ERROR
-                  || outcome == CYM_NOT_RUN;
-  if (request->is_trial)
-    {
-      cym_poison_end_trial (match->poison, request->fingerprint);
-      server->trial_count--;
-    }
-  request->is_trial = false;
-  if (request->reset && request->fingerprint != 0)
-    {
-      const struct cym_poison_end end = { .fingerprint = request->fingerprint,
-                                          .id = server->id,
-                                          .incarnation = server->incarnation,
-                                          .at = now };
-      cym_poison_record (match->poison, &end, request, now);
-      mark_ended (server, now);
-    }
-  if (outcome == CYM_ANSWERED)
-    cym_poison_clear (match->poison, request->fingerprint, request, now);
-  if (answered)
-    record_alive (match, server, request, answer_time, now);
-}
-
 void
 cym_match_finish (struct cym_match *match, struct cym_request *request,
                   enum cym_outcome outcome, cy_time_ns answer_time,
@@ -550,7 +472,7 @@
     cym_answer_time_record (server, request, answer_time, now);
   cym_load_record (server, request->entry_vm, load, now);
   record_limit (server, request, outcome, load, now);
-  record_poison (match, server, request, outcome, answer_time, now);
+  cym_trial_record (match, server, request, outcome, answer_time, now);
   serve_waiting (match, server, now);
   if (was_trial)
     sweep_servers (match, server->service, now);
@@ -622,14 +544,6 @@
   return server;
 }
 
-static bool
-is_suspended (const struct cym_match *match, const struct cym_request *request,
-              cy_time_ns now)
-{
-  return cym_poison_check (match->poison, request->fingerprint, now)
-         != CYM_POISON_PLACE;
-}
-
 /* Places or refuses the waiting requests of SERVICE whose wait is over.  */
 static void
 expire_waiting (struct cym_match *match, struct cym_service *service,
@@ -640,10 +554,10 @@
     {
       cym_queue_leave (request);
       struct cym_server *server
-          = is_suspended (match, request, now)
+          = cym_trial_is_suspended (match, request, now)
                 ? NULL
                 : choose_at_wait_end (match, request, now);
-      bool suspended = is_suspended (match, request, now);
+      bool suspended = cym_trial_is_suspended (match, request, now);
       if (server != NULL && !suspended)
         {
           request->on_decision (
@@ -653,7 +567,7 @@
       request->waited = now - request->arrived_at;
       request->on_decision (
           request, suspended
-                       ? refuse_poison (match, request, now)
+                       ? cym_trial_refuse (match, request, now)
                        : refuse_no_slot (match, request, CY_E_NO_ROOM, now));
     }
 }
@@ -695,25 +609,6 @@
   return next;
 }
 
-/* ------------------------------------------------------------ poison */
-
-void
-cym_match_merge_poison (struct cym_match *match,
-                        const struct cym_poison_end *end, cy_time_ns now)
-{
-  struct cym_server *server = cym_match_find (match, end->id);
-  bool is_new = cym_poison_merge (match->poison, end, NULL, now);
-  if (is_new && !end->cleared && server != NULL
-      && server->incarnation == end->incarnation)
-    mark_ended (server, now);
-}
-
-struct cym_poison *
-cym_match_poison (struct cym_match *match)
-{
-  return match->poison;
-}
-
 /* ------------------------------------------------------------ register */
 
 void
--- a/src/core/cym_queue.c
+++ b/src/core/cym_queue.c
@@ -144,8 +144,7 @@
   TAILQ_FOREACH (request, &server->service->waiting, entry)
   {
     if (!cym_may_place (match, server, request, now)
-        || cym_poison_check (match->poison, request->fingerprint, now)
-               != CYM_POISON_PLACE)
+        || cym_trial_is_suspended (match, request, now))
       continue;
     double answer_ns = cym_expected_answer_ns (server, request, now);
     if (answer_ns > (double)(request->deadline_at - now)
