--- a/src/hub/cyc_dispatch.c
+++ b/src/hub/cyc_dispatch.c
@@ -32,6 +32,7 @@
   uint64_t number;         /* of the request, unique for CHILD */
   Cy__PlaceAsk *message;
   cy_time_ns expires_at; /* time at which a placed request is dropped */
+  bool has_ended;        /* to be freed, see keeps_jobs of struct cyc_hub */
 };
 
 /* ------------------------------------------------------------ jobs */
@@ -171,7 +172,9 @@
   count_decision_by ("cy_hub_workspace_decisions_total", "workspace",
                      job->request.workspace, result);
   send_answer (job, result);
-  if (result != CY_OK)
+  if (result != CY_OK && job->hub->keeps_jobs)
+    job->has_ended = true;
+  else if (result != CY_OK)
     job_free (job);
 }
 
@@ -429,31 +432,29 @@
       share / (double)cyc_topology_region_count (hub->options.topology), now);
 }
 
-static struct cyc_job *
-find_orphan (const struct cyc_hub *hub, cy_time_ns now)
-{
-  struct cyc_job *job = NULL;
-  CK_LIST_FOREACH (job, &hub->jobs, entry)
-  {
-    if (now >= job->expires_at && !job->request.queued)
-      return job;
-  }
-  return NULL;
-}
-
 /* Drops placed requests whose end was not reported in time, and so frees their
-   slots.  A free slot may end waiting requests and so free other jobs.  */
+   slots.  A free slot may end waiting requests, also the next one of the list:
+   they are freed afterwards.  */
 static void
 drop_orphans (struct cyc_hub *hub, cy_time_ns now)
 {
   struct cyc_job *job = NULL;
+  struct cyc_job *next = NULL;
   struct cym_load load = { 0 };
-  while ((job = find_orphan (hub, now)) != NULL)
-    {
-      cym_match_finish (hub->match, &job->request, CYM_CANCELLED, 0, &load,
-                        now);
+  hub->keeps_jobs = true;
+  CK_LIST_FOREACH (job, &hub->jobs, entry)
+  {
+    if (now < job->expires_at || job->request.queued || job->has_ended)
+      continue;
+    cym_match_finish (hub->match, &job->request, CYM_CANCELLED, 0, &load, now);
+    job->has_ended = true;
+  }
+  hub->keeps_jobs = false;
+  CK_LIST_FOREACH_SAFE (job, &hub->jobs, entry, next)
+  {
+    if (job->has_ended)
       job_free (job);
-    }
+  }
 }
 
 void
--- a/src/hub/cyc_internal.h
+++ b/src/hub/cyc_internal.h
@@ -188,6 +188,7 @@
   struct cym_loans *loans;
   GHashTable *loan_requests; /* "REGION/SERVICE" to struct cyc_loan_request */
   CK_LIST_HEAD (cyc_jobs, cyc_job) jobs;
+  bool keeps_jobs; /* JOBS is being walked: no job is freed meanwhile */
   unsigned region_entries;   /* entry VMs of the local region */
   unsigned attached_entries; /* entry VMs of the local region whose requests
                                 are placed here */
