A request is blocked only after a server ended under its trial

Copies of one request run at several servers at once, and servers that are killed at the same moment all count as ended under it; and a server that was gone already, behind a relay that still accepts connections, counted again for each request that was sent to it.

--- a/proto/cy.pb-c.c
+++ b/proto/cy.pb-c.c
@@ -9394,7 +9394,7 @@
   (ProtobufCMessageInit) cy__hub_sync__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cy__poison_end__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cy__poison_end__field_descriptors[6] =
 {
   {
     "work",
@@ -9456,18 +9456,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trial",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cy__PoisonEnd, trial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cy__poison_end__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
   2,   /* field[2] = born */
   3,   /* field[3] = cleared */
   1,   /* field[1] = instance */
+  5,   /* field[5] = trial */
   0,   /* field[0] = work */
 };
 static const ProtobufCIntRange cy__poison_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cy__poison_end__descriptor =
 {
@@ -9477,7 +9490,7 @@
   "Cy__PoisonEnd",
   "cy",
   sizeof(Cy__PoisonEnd),
-  5,
+  6,
   cy__poison_end__field_descriptors,
   cy__poison_end__field_indices_by_name,
   1,  cy__poison_end__number_ranges,
--- a/proto/cy.pb-c.h
+++ b/proto/cy.pb-c.h
@@ -1679,10 +1679,14 @@
    * time since the end
    */
   uint32_t age_ms;
+  /*
+   * the request was sent as a trial
+   */
+  protobuf_c_boolean trial;
 };
 #define CY__POISON_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cy__poison_end__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/src/core/cym_choose.c
+++ b/src/core/cym_choose.c
@@ -22,7 +22,10 @@
 #define OTHER_ZONE_MS  25.0  /* in another zone than the entry VM */
 #define FULL_SERVER_MS 6.0   /* all slots occupied; in proportion for less */
 #define ALL_ERRORS_MS  400.0 /* every answer an error; in proportion */
-#define TWO_TRIALS_MS  1e6   /* runs another suspect request */
+
+/* The same for a suspect request, at a server that runs another one or that
+   may have ended, in ms.  */
+#define TRIAL_APART_MS 1e6
 
 /* Time in s in which the reported number of other placers' requests at a
    server is reduced to 0.  */
@@ -206,10 +209,10 @@
   cost_ns += load * FULL_SERVER_MS * CY_NS_PER_MS;
   cost_ns += server->error_ratio * ALL_ERRORS_MS * CY_NS_PER_MS;
   /* Of two suspect requests at a server that ends, one is innocent.  */
-  if (server->trial_count > 0
+  if ((server->trial_count > 0 || server->first_ended_at != 0)
       && cym_poison_get_state (match->poison, request->fingerprint, now)
              != CYM_POISON_NONE)
-    cost_ns += TWO_TRIALS_MS * CY_NS_PER_MS;
+    cost_ns += TRIAL_APART_MS * CY_NS_PER_MS;
   if (strcmp (server->zone, request->zone) != 0)
     cost_ns += OTHER_ZONE_MS * CY_NS_PER_MS;
   if (request->affinity != 0)
--- a/src/core/cym_poison.c
+++ b/src/core/cym_poison.c
@@ -12,6 +12,7 @@
   uint64_t incarnation;
   cy_time_ns at;
   bool cleared;
+  bool trial;
   bool due;              /* to be reported to the other placers */
   cy_time_ns changed_at; /* latest change that this process observed, 0: only
                             reported by others */
@@ -113,6 +114,19 @@
   return count;
 }
 
+/* True when a server ended under a trial of the request.  */
+static bool
+has_trial_end (const struct poison_entry *entry)
+{
+  const struct stored_end *end = NULL;
+  CK_LIST_FOREACH (end, &entry->ends, entry)
+  {
+    if (end->trial && !end->cleared)
+      return true;
+  }
+  return false;
+}
+
 /* Time at which the block of ENTRY ends, 0 if it has none.  */
 static cy_time_ns
 blocked_until (const struct poison_entry *entry)
@@ -120,7 +134,7 @@
   const struct stored_end *end = NULL;
   cy_time_ns latest = INT64_MIN;
   unsigned servers = count_servers (entry);
-  if (servers < CYM_POISON_BLOCK_COUNT)
+  if (servers < CYM_POISON_BLOCK_COUNT || !has_trial_end (entry))
     return entry->told_until;
   CK_LIST_FOREACH (end, &entry->ends, entry)
   {
@@ -358,6 +372,7 @@
   stored->incarnation = end->incarnation;
   stored->at = end->at;
   stored->cleared = end->cleared;
+  stored->trial = end->trial;
   CK_LIST_INSERT_HEAD (&entry->ends, stored, entry);
   entry->end_count++;
   return stored;
@@ -499,6 +514,7 @@
                                        .id = end->id,
                                        .incarnation = end->incarnation,
                                        .cleared = end->cleared,
+                                       .trial = end->trial,
                                        .at = end->at };
         if (end->due || (full && is_reported_again (entry, end, now)))
           each (&item, context);
--- a/src/core/cym_poison.h
+++ b/src/core/cym_poison.h
@@ -11,8 +11,10 @@
 
    Suspect: one server ended.  A placer runs one request with the fingerprint
    at a time, the trial, and the others wait for its result.
-   Blocked: two servers ended.  Requests are refused for a time, which doubles
-   with each further server; then the next request is a trial again.
+   Blocked: two servers ended, one of them under a trial.  Several that end at
+   once end under many requests that only ran there.  Requests are refused for
+   a time, which doubles with each further server; then the next request is a
+   trial again.
 
    An end, once cleared, stays cleared.  So the tables of several placers can
    be merged in any order.  Pure, one thread at a time.  */
@@ -75,6 +77,7 @@
   const char *id;       /* of the server */
   uint64_t incarnation;
   bool cleared; /* the request did not end the server */
+  bool trial;   /* the request was sent as a trial */
   cy_time_ns at;
 };
 
--- a/src/hub/cyc_poison.c
+++ b/src/hub/cyc_poison.c
@@ -22,6 +22,7 @@
   copy->instance = g_strdup (end->id);
   copy->born = end->incarnation;
   copy->cleared = end->cleared;
+  copy->trial = end->trial;
   copy->age_ms = (uint32_t)(MAX (collector->now - end->at, 0) / CY_NS_PER_MS);
   g_ptr_array_add (collector->list, copy);
 }
@@ -66,6 +67,7 @@
               .id = source->instance,
               .incarnation = source->born,
               .cleared = source->cleared,
+              .trial = source->trial,
               .at = now - source->age_ms * CY_NS_PER_MS };
       cym_match_merge_poison (hub->match, &end, now);
     }
